--- /dev/null
+++ b/cmake/auburnspring_dependencies.cmake
@@ -0,0 +1,15 @@
+# Finds every library the build uses. The decisions need only the first block.
+find_package(Threads REQUIRED)
+find_package(PkgConfig REQUIRED)
+find_package(absl REQUIRED)
+find_package(fmt REQUIRED)
+find_package(nlohmann_json REQUIRED)
+find_package(Catch2 2 REQUIRED)
+find_package(rapidcheck REQUIRED)
+pkg_check_modules(xxhash REQUIRED IMPORTED_TARGET libxxhash)
+pkg_check_modules(urcu REQUIRED IMPORTED_TARGET liburcu-bp)
+
+if(NOT AUBURNSPRING_DECISION_ONLY)
+  find_package(Poco REQUIRED COMPONENTS Foundation Net)
+  find_package(prometheus-cpp REQUIRED COMPONENTS core)
+endif()
--- /dev/null
+++ b/cmake/auburnspring_module.cmake
@@ -0,0 +1,28 @@
+# auburnspring_module(NAME SOURCES a.cpp... TESTS a_test.cpp... LIBS x y...)
+# One static library auburnspring_NAME and one test program NAME_test.
+function(auburnspring_module NAME)
+  cmake_parse_arguments(ARG "" "LABEL" "SOURCES;TESTS;LIBS" ${ARGN})
+  add_library(auburnspring_${NAME} STATIC ${ARG_SOURCES})
+  auburnspring_target(auburnspring_${NAME})
+  target_link_libraries(auburnspring_${NAME} PUBLIC ${ARG_LIBS})
+  if(ARG_TESTS)
+    auburnspring_test(${NAME}_test unit auburnspring_${NAME} ${ARG_TESTS})
+  endif()
+endfunction()
+
+# Warnings as errors and the include folder for any target.
+function(auburnspring_target TARGET)
+  target_include_directories(${TARGET} PUBLIC ${CMAKE_SOURCE_DIR}/include)
+  target_compile_options(${TARGET} PRIVATE -Wall -Wextra -Werror)
+endfunction()
+
+# auburnspring_test(TARGET LABEL LIB SOURCES...)
+function(auburnspring_test TARGET LABEL LIB)
+  add_executable(${TARGET} ${ARGN})
+  auburnspring_target(${TARGET})
+  target_link_libraries(${TARGET} PRIVATE
+    ${LIB} auburnspring_test_main Catch2::Catch2 rapidcheck)
+  add_test(NAME ${TARGET} COMMAND ${TARGET})
+  set_tests_properties(${TARGET} PROPERTIES LABELS ${LABEL}
+    ENVIRONMENT "RC_PARAMS=seed=20261203")
+endfunction()
--- /dev/null
+++ b/include/auburnspring/config/route_parser.h
@@ -0,0 +1,20 @@
+#ifndef AUBURNSPRING_CONFIG_ROUTE_PARSER_H
+#define AUBURNSPRING_CONFIG_ROUTE_PARSER_H
+
+#include "auburnspring/config/fault.h"
+#include "auburnspring/config/route.h"
+
+#include <absl/strings/string_view.h>
+
+#include <optional>
+
+namespace auburnspring {
+
+/// Parses one route file. All faults found are added to `faults`; the result
+/// is empty if there was one.
+std::optional<Route> parseRoute(absl::string_view file, absl::string_view text,
+                                Faults *faults);
+
+} // namespace auburnspring
+
+#endif
--- /dev/null
+++ b/include/auburnspring/decision/pool_gate.h
@@ -0,0 +1,107 @@
+#ifndef AUBURNSPRING_DECISION_POOL_GATE_H
+#define AUBURNSPRING_DECISION_POOL_GATE_H
+
+#include "auburnspring/base/time.h"
+#include "auburnspring/decision/ids.h"
+
+#include <absl/container/flat_hash_map.h>
+
+#include <cstdint>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace auburnspring {
+
+/// A part of a stage that asks for a slot in a pool.
+struct SlotRequest {
+  RequestId request = 0;
+  std::uint32_t stage = 0;
+  std::uint32_t part = 0;
+  std::string organisation;
+  double weight = 1;
+  std::int64_t priority = 5;
+  /// When the part must have started to be of use.
+  TimePoint latestStart;
+};
+
+enum class GateAnswer { Granted, Queued, Full };
+
+/// Limits this host's attempts in one pool and queues the rest. The limit
+/// follows the pool's latency; organisations take turns by weight, and within
+/// one the order is priority, then the least slack. Any thread may call it.
+class PoolGate {
+public:
+  struct Options {
+    std::size_t maxQueued = 256;
+    double initialLimit = 8;
+    double minLimit = 1;
+    double maxLimit = 4096;
+    /// Latency beyond this multiple of the unloaded one shrinks the limit.
+    double latencyTolerance = 2.0;
+  };
+
+  explicit PoolGate(Options options);
+
+  /// Sets what the pool can run side by side by its listed slots, this host's
+  /// share of it. The learned limit stays within a quarter and four times it.
+  void setCapacityHint(double slots);
+
+  GateAnswer ask(const SlotRequest &request);
+
+  /// Takes a slot only if one is free and nobody waits.
+  bool tryTake(const SlotRequest &request);
+
+  /// Returns a slot and fills `granted` with the parts that start now.
+  void release(std::vector<SlotRequest> *granted);
+
+  /// Removes what a finished request still has in the queue.
+  void withdraw(RequestId request);
+
+  /// Learns from an attempt that ended well.
+  void learn(Duration latency, TimePoint now);
+
+  /// Learns that the pool is overloaded, from a refusal or a timeout.
+  void learnOverload(TimePoint now);
+
+  /// Expected wait of a new part behind the present queue.
+  Duration expectedWait() const;
+
+  struct Reading {
+    double limit;
+    std::int64_t inUse;
+    std::size_t queued;
+    Duration smoothedLatency;
+    Duration baseLatency;
+  };
+  Reading read() const;
+
+private:
+  struct Turn {
+    double pass = 0;
+    std::size_t queued = 0;
+  };
+
+  bool hasRoom() const;
+  void take(const SlotRequest &request);
+  std::size_t pickNext() const;
+  void shrink(TimePoint now);
+
+  Options options_;
+  mutable std::mutex mutex_;
+  // All below are guarded by mutex_.
+  double limit_;
+  double hint_ = 0;
+  std::int64_t inUse_ = 0;
+  std::vector<SlotRequest> queue_;
+  absl::flat_hash_map<std::string, Turn> turns_;
+  double lastPass_ = 0;
+  Duration smoothed_{0};
+  Duration base_{0};
+  TimePoint baseSetAt_{};
+  TimePoint lastShrink_{};
+};
+
+} // namespace auburnspring
+
+#endif
--- /dev/null
+++ b/include/auburnspring/decision/run_context.h
@@ -0,0 +1,26 @@
+#ifndef AUBURNSPRING_DECISION_RUN_CONTEXT_H
+#define AUBURNSPRING_DECISION_RUN_CONTEXT_H
+
+#include "auburnspring/decision/ledger.h"
+#include "auburnspring/decision/rcu_cell.h"
+#include "auburnspring/decision/snapshot.h"
+
+#include <random>
+#include <string>
+
+namespace auburnspring {
+
+/// What a request's run may use of its host while it handles one event.
+struct RunContext {
+  const std::string &host;
+  const std::string &dataCentre;
+  std::uint64_t incarnation;
+  const RcuCell<Snapshot> &snapshot;
+  Ledger &ledger;
+  /// The generator of the request's table; guarded by the table's lock.
+  std::mt19937_64 &random;
+};
+
+} // namespace auburnspring
+
+#endif
--- /dev/null
+++ b/include/auburnspring/decision/step.h
@@ -0,0 +1,29 @@
+#ifndef AUBURNSPRING_DECISION_STEP_H
+#define AUBURNSPRING_DECISION_STEP_H
+
+#include "auburnspring/base/time.h"
+#include "auburnspring/decision/action.h"
+#include "auburnspring/decision/event.h"
+
+#include <deque>
+
+namespace auburnspring {
+
+/// What the handling of one event collects: actions for the shell, and events
+/// that the host hands to its own components before it returns.
+struct Step {
+  Instant now;
+  Actions actions;
+  std::deque<Event> followUps;
+
+  template <typename T> void act(T action) {
+    actions.emplace_back(std::move(action));
+  }
+  template <typename T> void follow(T event) {
+    followUps.emplace_back(std::move(event));
+  }
+};
+
+} // namespace auburnspring
+
+#endif
--- /dev/null
+++ b/include/auburnspring/platform/etcd_store.h
@@ -0,0 +1,32 @@
+#ifndef AUBURNSPRING_PLATFORM_ETCD_STORE_H
+#define AUBURNSPRING_PLATFORM_ETCD_STORE_H
+
+#include "auburnspring/base/time.h"
+#include "auburnspring/config/settings.h"
+#include "auburnspring/platform/http_call.h"
+#include "auburnspring/platform/key_value_store.h"
+
+namespace auburnspring {
+
+/// Speaks etcd v3 through its JSON gateway (kv/range and kv/txn). Each call
+/// has a connection of its own, so that a silent one harms one call only.
+class EtcdStore : public KeyValueStore {
+public:
+  explicit EtcdStore(Endpoint endpoint,
+                     Duration timeout = std::chrono::milliseconds(800));
+
+  KvReply call(const KvOperation &operation) override;
+
+private:
+  KvReply get(const KvOperation &operation) const;
+  KvReply putIf(const KvOperation &operation) const;
+  absl::StatusOr<HttpAnswer> post(const std::string &path,
+                                  std::string body) const;
+
+  Endpoint endpoint_;
+  Duration timeout_;
+};
+
+} // namespace auburnspring
+
+#endif
--- /dev/null
+++ b/include/auburnspring/platform/http_call.h
@@ -0,0 +1,43 @@
+#ifndef AUBURNSPRING_PLATFORM_HTTP_CALL_H
+#define AUBURNSPRING_PLATFORM_HTTP_CALL_H
+
+#include "auburnspring/base/time.h"
+#include "auburnspring/config/settings.h"
+
+#include <absl/status/statusor.h>
+
+#include <map>
+#include <string>
+
+namespace auburnspring {
+
+/// One HTTP exchange on a connection of its own.
+struct HttpCall {
+  std::string method = "GET";
+  std::string path = "/";
+  std::string body;
+  std::map<std::string, std::string> headers;
+  Duration connectTimeout = std::chrono::milliseconds(500);
+  Duration answerTimeout = std::chrono::milliseconds(1000);
+  std::size_t maxAnswerBytes = 8 << 20;
+};
+
+struct HttpAnswer {
+  int status = 0;
+  std::string body;
+  std::map<std::string, std::string> headers;
+};
+
+/// Makes the exchange once: a connection that breaks is never opened again
+/// behind the caller's back. On failure the status is Unavailable if no byte
+/// was written and DataLoss if the request may have been received; an answer
+/// that is cut short is a failure.
+absl::StatusOr<HttpAnswer> callHttp(const Endpoint &endpoint,
+                                    const HttpCall &call);
+
+/// True if callHttp's failure proves that nothing was sent.
+bool wasNotSent(const absl::Status &status);
+
+} // namespace auburnspring
+
+#endif
--- /dev/null
+++ b/include/auburnspring/server/http_server.h
@@ -0,0 +1,41 @@
+#ifndef AUBURNSPRING_SERVER_HTTP_SERVER_H
+#define AUBURNSPRING_SERVER_HTTP_SERVER_H
+
+#include "auburnspring/shell/host_shell.h"
+
+#include <absl/status/status.h>
+
+#include <memory>
+
+namespace auburnspring {
+
+/// Serves callers and operators over HTTP/1.1.
+///
+/// | path | who | what |
+/// | --- | --- | --- |
+/// | POST /v1/routes/{route} | callers | one request |
+/// | GET /healthz | anyone | 200 while the process runs |
+/// | GET /readyz | balancer | 200 while new requests are welcome |
+/// | GET /metrics | anyone | Prometheus text |
+/// | GET /dump | operators | the whole state as JSON |
+/// | GET /v1/operator/upstreams/{name} | operators | work in flight there |
+class HttpServer {
+public:
+  explicit HttpServer(HostShell *shell);
+  ~HttpServer();
+  HttpServer(const HttpServer &) = delete;
+  HttpServer &operator=(const HttpServer &) = delete;
+
+  absl::Status start();
+
+  /// Stops taking connections and waits for those that are served.
+  void stop();
+
+private:
+  class Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+} // namespace auburnspring
+
+#endif
--- /dev/null
+++ b/src/auburnspring/ctl/host_client.cpp
@@ -0,0 +1,57 @@
+#include "host_client.h"
+
+#include "auburnspring/platform/http_call.h"
+
+#include <absl/strings/str_cat.h>
+
+namespace auburnspring {
+
+namespace {
+
+constexpr int Ok = 200;
+
+} // namespace
+
+HostClient::HostClient(std::string operatorToken)
+    : token_(std::move(operatorToken)) {}
+
+absl::StatusOr<nlohmann::json> HostClient::get(const Endpoint &endpoint,
+                                               const std::string &path) const {
+  HttpCall call;
+  call.path = path;
+  call.headers["Authorization"] = "Bearer " + token_;
+  call.answerTimeout = std::chrono::seconds(3);
+  call.maxAnswerBytes = 64 << 20;
+  const absl::StatusOr<HttpAnswer> answer = callHttp(endpoint, call);
+  if (!answer.ok())
+    return answer.status();
+  if (answer->status != Ok)
+    return absl::PermissionDeniedError(
+        absl::StrCat(toString(endpoint), path, " answered ", answer->status));
+  nlohmann::json json = nlohmann::json::parse(answer->body, nullptr, false);
+  if (json.is_discarded())
+    return absl::DataLossError(
+        absl::StrCat(toString(endpoint), path, " answered no JSON"));
+  return json;
+}
+
+absl::StatusOr<std::vector<HostEntry>>
+HostClient::hosts(const Endpoint &endpoint) const {
+  const absl::StatusOr<nlohmann::json> status =
+      get(endpoint, "/v1/operator/status");
+  if (!status.ok())
+    return status.status();
+  std::vector<HostEntry> entries;
+  for (const nlohmann::json &member : status->at("members")) {
+    HostEntry entry;
+    entry.name = member.at("host").get<std::string>();
+    entry.state = member.at("state").get<std::string>();
+    entry.dataCentre = member.at("data_centre").get<std::string>();
+    entry.endpoint = parseEndpoint(member.at("address").get<std::string>())
+                         .value_or(Endpoint());
+    entries.push_back(std::move(entry));
+  }
+  return entries;
+}
+
+} // namespace auburnspring
--- /dev/null
+++ b/src/auburnspring/decision/configuration_follower.cpp
@@ -0,0 +1,220 @@
+#include "auburnspring/decision/configuration_follower.h"
+
+#include "auburnspring/base/digest.h"
+
+#include <algorithm>
+
+namespace auburnspring {
+
+namespace {
+
+constexpr Duration RetryDelay = std::chrono::milliseconds(200);
+constexpr std::size_t MaxPieceCalls = 4;
+
+} // namespace
+
+ConfigurationFollower::ConfigurationFollower(Options options)
+    : options_(std::move(options)), random_(options_.seed) {}
+
+void ConfigurationFollower::onTick(bool watcher, Step *step) {
+  const TimePoint now = step->now.steady;
+  // A call whose answer never comes must not stop the reading for good.
+  if (headCall_ && now - headCallAt_ > options_.callTimeout)
+    headCall_.reset();
+  if (now >= peerAnswerBy_) {
+    peerAnswerBy_ = TimePoint::max();
+    if (heardGeneration_ > current_.head.generation)
+      readHead(step);
+  }
+  if (now < nextReadAt_)
+    return;
+  const bool often = watcher || !ready_;
+  const Duration interval =
+      often ? options_.watcherInterval : options_.otherInterval;
+  std::uniform_real_distribution<double> jitter(0.8, 1.2);
+  nextReadAt_ =
+      now + Duration(static_cast<std::int64_t>(
+                static_cast<double>(interval.count()) * jitter(random_)));
+  readHead(step);
+}
+
+TimePoint ConfigurationFollower::nextWake() const {
+  return std::min(nextReadAt_, peerAnswerBy_);
+}
+
+void ConfigurationFollower::readHead(Step *step) {
+  if (headCall_)
+    return;
+  headCall_ = nextCall_++;
+  headCallAt_ = step->now.steady;
+  step->act(CallKeyValue{{KvOwner::Configuration, *headCall_},
+                         KvPriority::Configuration,
+                         {KvVerb::Get, headKey(options_.keyPrefix), "", 0}});
+}
+
+void ConfigurationFollower::onReply(KvCallId call, const KvReply &reply,
+                                    Step *step) {
+  if (headCall_ && *headCall_ == call.number) {
+    headCall_.reset();
+    return onHead(reply, step);
+  }
+  const auto found = pieceCalls_.find(call.number);
+  if (found == pieceCalls_.end())
+    return;
+  const std::string digest = found->second;
+  pieceCalls_.erase(found);
+  onPiece(digest, reply, step);
+}
+
+void ConfigurationFollower::onHead(const KvReply &reply, Step *step) {
+  if (reply.status != KvStatus::Ok)
+    return;
+  if (reply.revision == 0) {
+    ready_ = true;
+    return;
+  }
+  const absl::StatusOr<ConfigurationHead> head = decodeHead(reply.value);
+  if (!head.ok()) {
+    step->act(WriteNote{NoteLevel::Warning,
+                        "head_unreadable",
+                        {{"error", std::string(head.status().message())}}});
+    return;
+  }
+  // A stale read shows a lower generation; it is never followed.
+  if (head->generation <= current_.head.generation)
+    return;
+  if (wanted_ && wanted_->generation >= head->generation)
+    return fetchPieces(step);
+  wanted_ = *head;
+  fetchPieces(step);
+  tryAccept(step);
+}
+
+void ConfigurationFollower::fetchPieces(Step *step) {
+  for (const auto &[file, digest] : wanted_->pieces) {
+    if (pieceCalls_.size() >= MaxPieceCalls)
+      return;
+    if (texts_.count(digest) > 0)
+      continue;
+    const bool asked =
+        std::any_of(pieceCalls_.begin(), pieceCalls_.end(),
+                    [&d = digest](const auto &c) { return c.second == d; });
+    if (asked)
+      continue;
+    const std::uint64_t number = nextCall_++;
+    pieceCalls_[number] = digest;
+    step->act(CallKeyValue{
+        {KvOwner::Configuration, number},
+        KvPriority::Configuration,
+        {KvVerb::Get, pieceKey(options_.keyPrefix, digest), "", 0}});
+  }
+}
+
+void ConfigurationFollower::onPiece(const std::string &digest,
+                                    const KvReply &reply, Step *step) {
+  if (!wanted_)
+    return;
+  const bool good = reply.status == KvStatus::Ok && reply.revision != 0 &&
+                    digestHex(reply.value) == digest;
+  if (!good) {
+    // The next reading of the head asks again.
+    nextReadAt_ = std::min(nextReadAt_, step->now.steady + RetryDelay);
+    return;
+  }
+  texts_[digest] = reply.value;
+  fetchPieces(step);
+  tryAccept(step);
+}
+
+void ConfigurationFollower::tryAccept(Step *step) {
+  if (!wanted_)
+    return;
+  for (const auto &[file, digest] : wanted_->pieces)
+    if (texts_.count(digest) == 0)
+      return;
+  ConfigurationBundle bundle;
+  bundle.head = *wanted_;
+  for (const auto &[file, digest] : wanted_->pieces)
+    bundle.texts[digest] = texts_[digest];
+  accept(std::move(bundle), step);
+  wanted_.reset();
+}
+
+bool ConfigurationFollower::accept(ConfigurationBundle bundle, Step *step) {
+  if (bundle.head.generation <= current_.head.generation)
+    return false;
+  absl::StatusOr<RouteTable> routes = buildRoutes(bundle);
+  const std::string generation = std::to_string(bundle.head.generation);
+  if (!routes.ok()) {
+    step->act(WriteNote{NoteLevel::Warning,
+                        "configuration_refused",
+                        {{"generation", generation},
+                         {"error", std::string(routes.status().message())}}});
+    return false;
+  }
+  current_ = std::move(bundle);
+  // Pieces of the generation in force are kept; a publish changes few.
+  texts_ = current_.texts;
+  accepted_ = *std::move(routes);
+  ready_ = true;
+  ++accepts_;
+  step->act(WriteNote{NoteLevel::Info,
+                      "configuration_in_force",
+                      {{"generation", generation},
+                       {"routes", std::to_string(accepted_->size())}}});
+  return true;
+}
+
+std::optional<RouteTable> ConfigurationFollower::takeAccepted() {
+  std::optional<RouteTable> taken = std::move(accepted_);
+  accepted_.reset();
+  return taken;
+}
+
+void ConfigurationFollower::onHeard(const GenerationHeard &heard, Step *step) {
+  if (heard.generation <= current_.head.generation)
+    return;
+  const bool asking = peerAnswerBy_ != TimePoint::max();
+  if (asking && heard.generation <= heardGeneration_)
+    return;
+  heardGeneration_ = std::max(heardGeneration_, heard.generation);
+  peerAnswerBy_ = step->now.steady + options_.peerTimeout;
+  step->act(
+      SendToPeer{heard.host, heard.endpoint, BundleRequest{heard.generation}});
+}
+
+void ConfigurationFollower::onRequest(const std::string &from,
+                                      const Endpoint &endpoint,
+                                      const BundleRequest &request,
+                                      Step *step) const {
+  if (current_.head.generation < request.generation)
+    return;
+  step->act(SendToPeer{from, endpoint, BundleReply{current_}});
+}
+
+void ConfigurationFollower::onBundle(const ConfigurationBundle &bundle,
+                                     Step *step) {
+  peerAnswerBy_ = TimePoint::max();
+  if (!accept(bundle, step))
+    return;
+  if (wanted_ && wanted_->generation <= current_.head.generation)
+    wanted_.reset();
+}
+
+nlohmann::json ConfigurationFollower::dump() const {
+  nlohmann::json history = nlohmann::json::array();
+  for (const PublishRecord &record : current_.head.history)
+    history.push_back({{"generation", record.generation},
+                       {"publish_id", record.publishId},
+                       {"author", record.author},
+                       {"time", record.time.count()},
+                       {"change", record.change}});
+  return {{"generation", current_.head.generation},
+          {"ready", ready_},
+          {"pieces", current_.head.pieces},
+          {"drained", current_.head.drained},
+          {"accepted_since_start", accepts_},
+          {"history", history}};
+}
+
+} // namespace auburnspring
--- /dev/null
+++ b/src/auburnspring/decision/entry_host.cpp
@@ -0,0 +1,404 @@
+#include "auburnspring/decision/entry_host.h"
+
+#include <algorithm>
+
+namespace auburnspring {
+
+namespace {
+
+constexpr Duration RefusalComeBack = std::chrono::milliseconds(500);
+// Control work that has no timer of its own is looked at this often.
+constexpr Duration MaxControlWait = std::chrono::milliseconds(250);
+
+nlohmann::json costJson(const StageCost &cost) {
+  return {{"attempts", cost.attempts.load()},
+          {"retries", cost.retries.load()},
+          {"hedges", cost.hedges.load()},
+          {"failures", cost.failures.load()},
+          {"busy_ms", toMillis(Duration(cost.busyMicros.load()))},
+          {"wasted_ms", toMillis(Duration(cost.wastedMicros.load()))},
+          {"prompt_tokens", cost.promptTokens.load()},
+          {"cached_tokens", cost.cachedTokens.load()},
+          {"generated_tokens", cost.generatedTokens.load()}};
+}
+
+nlohmann::json routeJson(const LiveRoute &live) {
+  nlohmann::json outcomes = nlohmann::json::object();
+  for (std::size_t i = 0; i < OutcomeCount; ++i)
+    outcomes[toString(static_cast<Outcome>(i))] =
+        live.counters->outcomes[i].load();
+  nlohmann::json stages = nlohmann::json::array();
+  const Route &route = *live.route;
+  for (std::size_t i = 0; i < route.stages.size(); ++i) {
+    nlohmann::json stage = costJson(live.counters->stages[i]);
+    stage["name"] = route.stages[i].name;
+    stage["kind"] = toString(route.stages[i].kind);
+    stage["pool"] = route.stages[i].pool;
+    stage["p50_ms"] = toMillis(live.stageTimes[i]->quantile(0.5));
+    stage["p95_ms"] = toMillis(live.stageTimes[i]->quantile(0.95));
+    stages.push_back(std::move(stage));
+  }
+  return {{"owner", route.owner},
+          {"deadline_ms", toMillis(route.deadline)},
+          {"repeat", route.repeat == RepeatRule::Never ? "never" : "always"},
+          {"priority", route.priority},
+          {"outcomes", outcomes},
+          {"attained", live.counters->attained.load()},
+          {"stages", stages}};
+}
+
+} // namespace
+
+EntryHost::EntryHost(Options options)
+    : options_(std::move(options)), ledger_(options_.ledger),
+      snapshot_(std::make_unique<const Snapshot>()),
+      membership_(options_.membership), configuration_(options_.configuration),
+      directory_(options_.directory) {
+  std::seed_seq seeds{options_.seed, options_.incarnation};
+  std::array<std::uint64_t, TableCount> drawn;
+  seeds.generate(drawn.begin(), drawn.end());
+  for (std::size_t i = 0; i < TableCount; ++i) {
+    tables_[i] = std::make_unique<Table>();
+    tables_[i]->random.seed(drawn[i]);
+  }
+}
+
+Actions EntryHost::handle(Event event, Instant now) {
+  Step step;
+  step.now = now;
+  dispatch(std::move(event), &step);
+  while (!step.followUps.empty()) {
+    Event next = std::move(step.followUps.front());
+    step.followUps.pop_front();
+    dispatch(std::move(next), &step);
+  }
+  return std::move(step.actions);
+}
+
+void EntryHost::dispatch(Event event, Step *step) {
+  std::visit([&](auto &&typed) { onEvent(std::move(typed), step); },
+             std::move(event));
+}
+
+RunContext EntryHost::contextOf(Table *table) {
+  return {options_.host, options_.dataCentre, options_.incarnation, snapshot_,
+          ledger_,       table->random};
+}
+
+template <typename F> bool EntryHost::withRun(RequestId request, F use) {
+  Table &table = tableOf(request);
+  const std::lock_guard<std::mutex> lock(table.mutex);
+  const auto found = table.runs.find(request);
+  if (found == table.runs.end())
+    return false;
+  const RunContext context = contextOf(&table);
+  use(*found->second, context);
+  rearm(&table, request);
+  return true;
+}
+
+void EntryHost::rearm(Table *table, RequestId request) {
+  const auto run = table->runs.find(request);
+  const auto armed = table->armed.find(request);
+  const TimePoint wake = run->second->wakeAt();
+  if (armed != table->armed.end() && armed->second != wake) {
+    table->timers.erase({armed->second, request});
+    table->armed.erase(armed);
+  }
+  if (run->second->isOver()) {
+    table->timers.erase({wake, request});
+    table->armed.erase(request);
+    table->runs.erase(run);
+    --openRequests_;
+    return;
+  }
+  if (wake == TimePoint::max())
+    return;
+  table->timers.insert({wake, request});
+  table->armed[request] = wake;
+}
+
+void EntryHost::refuse(const RequestArrived &event, const char *reason,
+                       Step *step) {
+  AnswerCaller refusal;
+  refusal.request = event.request;
+  refusal.outcome = Outcome::NotRun;
+  refusal.reason = reason;
+  refusal.retryAfter = RefusalComeBack;
+  step->act(std::move(refusal));
+}
+
+void EntryHost::onEvent(RequestArrived event, Step *step) {
+  struct Look {
+    std::shared_ptr<const LiveRoute> route;
+    bool stopping = false;
+    bool configured = false;
+  };
+  const Look look = snapshot_.read([&event](const Snapshot &snapshot) {
+    const auto found = snapshot.routes.find(event.route);
+    return Look{found == snapshot.routes.end() ? nullptr : found->second,
+                snapshot.stopping, snapshot.generation > 0};
+  });
+  if (look.stopping)
+    return refuse(event, "this host is stopping", step);
+  if (!look.route && !look.configured)
+    return refuse(event, "this host has no configuration yet", step);
+  if (!look.route) {
+    AnswerCaller rejected;
+    rejected.request = event.request;
+    rejected.outcome = Outcome::Rejected;
+    rejected.reason = "no route has the name \"" + event.route + "\"";
+    rejected.permanent = true;
+    return step->act(std::move(rejected));
+  }
+  if (openRequests_.fetch_add(1) >= options_.maxRequests) {
+    --openRequests_;
+    return refuse(event, "this host holds as many requests as it may", step);
+  }
+  const RequestId request = event.request;
+  Table &table = tableOf(request);
+  const std::lock_guard<std::mutex> lock(table.mutex);
+  auto run =
+      std::make_unique<RequestRun>(std::move(event), look.route, step->now);
+  RequestRun &started = *run;
+  table.runs[request] = std::move(run);
+  started.start(contextOf(&table), step);
+  rearm(&table, request);
+}
+
+void EntryHost::onEvent(CallerGone event, Step *step) {
+  withRun(event.request, [&](RequestRun &run, const RunContext &context) {
+    run.onCallerGone(context, step);
+  });
+}
+
+void EntryHost::onEvent(AttemptSucceeded event, Step *step) {
+  withRun(event.attempt.request,
+          [&](RequestRun &run, const RunContext &context) {
+            run.onSucceeded(event, context, step);
+          });
+}
+
+void EntryHost::onEvent(AttemptFailed event, Step *step) {
+  withRun(event.attempt.request,
+          [&](RequestRun &run, const RunContext &context) {
+            run.onFailed(event, context, step);
+          });
+}
+
+void EntryHost::onEvent(AttemptProgress event, Step *step) {
+  withRun(event.attempt.request, [&](RequestRun &run, const RunContext &) {
+    run.onProgress(event, step);
+  });
+}
+
+void EntryHost::onEvent(SlotGranted event, Step *step) {
+  const bool found =
+      withRun(event.request, [&](RequestRun &run, const RunContext &context) {
+        run.onSlot(event, context, step);
+      });
+  if (found)
+    return;
+  std::vector<SlotRequest> granted;
+  event.pool->gate.release(&granted);
+  for (const SlotRequest &next : granted)
+    step->follow(SlotGranted{next.request, next.stage, next.part, event.pool});
+}
+
+void EntryHost::onEvent(ClaimDecided event, Step *step) {
+  withRun(event.request, [&](RequestRun &run, const RunContext &context) {
+    run.onClaim(event, context, step);
+  });
+}
+
+void EntryHost::tickTable(Table *table, Step *step) {
+  const std::lock_guard<std::mutex> lock(table->mutex);
+  while (!table->timers.empty() &&
+         table->timers.begin()->first <= step->now.steady) {
+    const RequestId request = table->timers.begin()->second;
+    table->timers.erase(table->timers.begin());
+    table->armed.erase(request);
+    const auto found = table->runs.find(request);
+    if (found == table->runs.end())
+      continue;
+    found->second->onTime(contextOf(table), step);
+    rearm(table, request);
+  }
+}
+
+void EntryHost::onEvent(Tick /*event*/, Step *step) {
+  ledger_.onTick(step);
+  for (const auto &table : tables_)
+    tickTable(table.get(), step);
+  tickControl(step);
+}
+
+void EntryHost::tickControl(Step *step) {
+  const std::lock_guard<std::mutex> lock(control_);
+  membership_.onTick(step);
+  configuration_.onTick(
+      membership_.isAmongFirst(options_.watchersPerDataCentre), step);
+  if (membership_.aliveCount() != lastLiveHosts_)
+    rebuild();
+}
+
+void EntryHost::onEvent(KvReplied event, Step *step) {
+  if (event.call.owner == KvOwner::Ledger)
+    return ledger_.onReply(event.call, event.reply, step);
+  const std::lock_guard<std::mutex> lock(control_);
+  configuration_.onReply(event.call, event.reply, step);
+  rebuildIfAccepted(step);
+}
+
+void EntryHost::onEvent(HostListRead event, Step *step) {
+  const std::lock_guard<std::mutex> lock(control_);
+  if (directory_.onHostList(event.list, step))
+    rebuild();
+}
+
+void EntryHost::onEvent(LoadReported event, Step *step) {
+  const std::lock_guard<std::mutex> lock(control_);
+  directory_.onLoad(event.report, step);
+}
+
+void EntryHost::onEvent(LeavingSeen event, Step *step) {
+  const std::lock_guard<std::mutex> lock(control_);
+  if (!directory_.onLeaving(event.rumour))
+    return;
+  membership_.spread(event.rumour);
+  step->act(WriteNote{NoteLevel::Info,
+                      "upstream_leaving",
+                      {{"upstream", event.rumour.upstream},
+                       {"incarnation", event.rumour.incarnation}}});
+}
+
+void EntryHost::onEvent(GenerationHeard event, Step *step) {
+  const std::lock_guard<std::mutex> lock(control_);
+  configuration_.onHeard(event, step);
+}
+
+void EntryHost::onEvent(PeerSaid event, Step *step) {
+  const std::lock_guard<std::mutex> lock(control_);
+  hearPeer(event.from, event.message, step);
+}
+
+void EntryHost::hearPeer(const std::string &from, const PeerMessage &message,
+                         Step *step) {
+  if (const auto *ping = std::get_if<Ping>(&message))
+    return membership_.onPing(from, *ping, step);
+  if (const auto *ack = std::get_if<Ack>(&message))
+    return membership_.onAck(from, *ack, step);
+  if (const auto *request = std::get_if<BundleRequest>(&message)) {
+    if (const MemberRumour *member = membership_.find(from))
+      configuration_.onRequest(from, member->endpoint, *request, step);
+    return;
+  }
+  if (const auto *reply = std::get_if<BundleReply>(&message)) {
+    configuration_.onBundle(reply->bundle, step);
+    rebuildIfAccepted(step);
+  }
+}
+
+void EntryHost::onEvent(StopRequested /*event*/, Step *step) {
+  const std::lock_guard<std::mutex> lock(control_);
+  stopping_ = true;
+  membership_.leave(step);
+  rebuild();
+}
+
+std::shared_ptr<const LiveRoute>
+EntryHost::liveRoute(const std::shared_ptr<const Route> &route) {
+  const auto known = liveRoutes_.find(route->name);
+  const bool sameStages =
+      known != liveRoutes_.end() &&
+      known->second->route->stages.size() == route->stages.size();
+  auto live = std::make_shared<LiveRoute>();
+  live->route = route;
+  live->counters = sameStages
+                       ? known->second->counters
+                       : std::make_shared<RouteCounters>(route->stages.size());
+  for (std::size_t i = 0; i < route->stages.size(); ++i) {
+    const bool sameStage = sameStages && known->second->route->stages[i].name ==
+                                             route->stages[i].name;
+    live->stageTimes.push_back(
+        sameStage ? known->second->stageTimes[i]
+                  : std::make_shared<LatencyBook>(route->stages[i].expected));
+  }
+  return live;
+}
+
+void EntryHost::rebuildIfAccepted(Step *step) {
+  const std::optional<RouteTable> accepted = configuration_.takeAccepted();
+  if (!accepted)
+    return;
+  std::map<std::string, std::shared_ptr<const LiveRoute>> next;
+  for (const auto &[name, route] : *accepted)
+    next[name] = liveRoute(route);
+  liveRoutes_ = std::move(next);
+  directory_.setDrained(configuration_.head().drained);
+  rebuild();
+  // Peers hear of a generation only once it is in force here.
+  membership_.setGeneration(configuration_.head().generation, step);
+}
+
+// Publishes the next snapshot from the control side's state.
+void EntryHost::rebuild() {
+  auto snapshot = std::make_unique<Snapshot>();
+  snapshot->generation = configuration_.head().generation;
+  for (const auto &[name, live] : liveRoutes_)
+    snapshot->routes[name] = live;
+  lastLiveHosts_ = membership_.aliveCount();
+  snapshot->liveHosts = lastLiveHosts_;
+  snapshot->pools = directory_.pools(lastLiveHosts_);
+  snapshot->stopping = stopping_;
+  snapshot_.publish(std::move(snapshot));
+}
+
+TimePoint EntryHost::nextWake() const {
+  TimePoint next = ledger_.nextWake();
+  for (const auto &table : tables_) {
+    const std::lock_guard<std::mutex> lock(table->mutex);
+    if (!table->timers.empty())
+      next = std::min(next, table->timers.begin()->first);
+  }
+  const std::lock_guard<std::mutex> lock(control_);
+  next = std::min(next, membership_.nextWake());
+  return std::min(next, configuration_.nextWake());
+}
+
+bool EntryHost::isReady() const {
+  const std::lock_guard<std::mutex> lock(control_);
+  return configuration_.isReady() && !stopping_;
+}
+
+std::size_t EntryHost::inFlightAt(const std::string &upstream) const {
+  std::vector<std::string> names;
+  for (const auto &table : tables_) {
+    const std::lock_guard<std::mutex> lock(table->mutex);
+    for (const auto &[request, run] : table->runs)
+      run->collectUpstreams(&names);
+  }
+  return static_cast<std::size_t>(
+      std::count(names.begin(), names.end(), upstream));
+}
+
+nlohmann::json EntryHost::dump(Instant now) const {
+  nlohmann::json json = {{"host", options_.host},
+                         {"data_centre", options_.dataCentre},
+                         {"incarnation", options_.incarnation},
+                         {"open_requests", openRequests_.load()},
+                         {"ledger", ledger_.dump()}};
+  const std::lock_guard<std::mutex> lock(control_);
+  json["ready"] = configuration_.isReady() && !stopping_;
+  json["stopping"] = stopping_;
+  json["watcher"] = membership_.isAmongFirst(options_.watchersPerDataCentre);
+  json["members"] = membership_.dump();
+  json["configuration"] = configuration_.dump();
+  json["directory"] = directory_.dump(now.steady);
+  json["routes"] = nlohmann::json::object();
+  for (const auto &[name, live] : liveRoutes_)
+    json["routes"][name] = routeJson(*live);
+  return json;
+}
+
+} // namespace auburnspring
--- /dev/null
+++ b/src/auburnspring/platform/host_list_client.cpp
@@ -0,0 +1,99 @@
+#include "auburnspring/platform/host_list_client.h"
+
+#include "auburnspring/platform/http_call.h"
+
+#include <absl/strings/str_cat.h>
+#include <nlohmann/json.hpp>
+
+namespace auburnspring {
+
+namespace {
+
+constexpr int Ok = 200;
+constexpr int NotModified = 304;
+
+ListedUpstream readUpstream(const nlohmann::json &json) {
+  ListedUpstream upstream;
+  upstream.name = json.at("name").get<std::string>();
+  upstream.pool = json.at("pool").get<std::string>();
+  upstream.dataCentre = json.value("data_centre", "");
+  upstream.incarnation = json.value("incarnation", "");
+  upstream.leaving = json.value("state", "live") == "leaving";
+  upstream.slots = json.value("slots", 1);
+  upstream.models = json.value("models", std::vector<std::string>());
+  const std::string address = json.at("address").get<std::string>();
+  upstream.endpoint = parseEndpoint(address).value_or(Endpoint());
+  return upstream;
+}
+
+} // namespace
+
+HostListClient::HostListClient(Endpoint endpoint)
+    : endpoint_(std::move(endpoint)) {}
+
+absl::StatusOr<HostList> parseHostList(absl::string_view text) {
+  const nlohmann::json json =
+      nlohmann::json::parse(text.begin(), text.end(), nullptr, false);
+  if (json.is_discarded())
+    return absl::DataLossError("the host list is not valid JSON");
+  try {
+    HostList list;
+    list.version = json.at("version").get<std::uint64_t>();
+    for (const nlohmann::json &entry : json.at("hosts"))
+      list.upstreams.push_back(readUpstream(entry));
+    return list;
+  } catch (const nlohmann::json::exception &error) {
+    return absl::DataLossError(
+        absl::StrCat("the host list is malformed: ", error.what()));
+  }
+}
+
+absl::StatusOr<std::optional<HostList>> HostListClient::read() {
+  HttpCall call;
+  call.path = "/v1/hosts";
+  if (!etag_.empty())
+    call.headers["If-None-Match"] = etag_;
+  const absl::StatusOr<HttpAnswer> answer = callHttp(endpoint_, call);
+  if (!answer.ok())
+    return answer.status();
+  if (answer->status == NotModified)
+    return std::optional<HostList>();
+  if (answer->status != Ok)
+    return absl::UnavailableError(
+        absl::StrCat("the host list answered ", answer->status));
+  absl::StatusOr<HostList> list = parseHostList(answer->body);
+  if (!list.ok())
+    return list.status();
+  const auto etag = answer->headers.find("ETag");
+  etag_ = etag == answer->headers.end() ? "" : etag->second;
+  return std::optional<HostList>(*std::move(list));
+}
+
+absl::StatusOr<LoadReport> readLoad(const ListedUpstream &upstream) {
+  HttpCall call;
+  call.path = "/v1/load";
+  call.connectTimeout = std::chrono::milliseconds(200);
+  call.answerTimeout = std::chrono::milliseconds(300);
+  const absl::StatusOr<HttpAnswer> answer = callHttp(upstream.endpoint, call);
+  if (!answer.ok())
+    return answer.status();
+  if (answer->status != Ok)
+    return absl::UnavailableError(
+        absl::StrCat(upstream.name, " answered ", answer->status));
+  const nlohmann::json json =
+      nlohmann::json::parse(answer->body, nullptr, false);
+  try {
+    LoadReport report;
+    report.upstream = upstream.name;
+    report.incarnation = json.at("incarnation").get<std::string>();
+    report.running = json.at("running").get<std::int64_t>();
+    report.queued = json.at("queued").get<std::int64_t>();
+    report.leaving = json.value("leaving", false);
+    return report;
+  } catch (const nlohmann::json::exception &error) {
+    return absl::DataLossError(
+        absl::StrCat("a load report is malformed: ", error.what()));
+  }
+}
+
+} // namespace auburnspring
--- /dev/null
+++ b/src/auburnspring/shell/host_shell.cpp
@@ -0,0 +1,280 @@
+#include "auburnspring/shell/host_shell.h"
+
+#include "auburnspring/base/digest.h"
+#include "auburnspring/base/log.h"
+#include "auburnspring/platform/host_list_client.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace auburnspring {
+
+namespace {
+
+constexpr Duration MaxTimerWait = std::chrono::milliseconds(50);
+constexpr Duration MinTimerWait = std::chrono::milliseconds(1);
+constexpr Duration StopPoll = std::chrono::milliseconds(20);
+
+Instant readClock() {
+  Instant now;
+  now.steady =
+      std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
+  now.wall = std::chrono::duration_cast<WallTime>(
+      std::chrono::system_clock::now().time_since_epoch());
+  return now;
+}
+
+std::uint64_t newIncarnation() {
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::microseconds>(now).count());
+}
+
+EntryHost::Options hostOptions(const Settings &settings,
+                               std::uint64_t incarnation) {
+  EntryHost::Options options;
+  options.host = settings.host;
+  options.dataCentre = settings.dataCentre;
+  options.incarnation = incarnation;
+  options.seed = stableHash(settings.host, incarnation);
+  options.maxRequests = static_cast<std::size_t>(settings.maxRequests);
+  options.ledger.host = settings.host;
+  options.ledger.keyPrefix = settings.keyPrefix;
+  options.ledger.shards = static_cast<std::size_t>(settings.ledgerShards);
+  options.ledger.retention =
+      std::chrono::duration_cast<WallTime>(settings.ledgerRetention);
+  options.ledger.maxKeptAnswerBytes =
+      static_cast<std::size_t>(settings.maxKeptAnswerBytes);
+  options.ledger.seed = options.seed + 1;
+  options.membership.self.host = settings.host;
+  options.membership.self.endpoint = settings.peerListen;
+  options.membership.self.callers = settings.listen;
+  options.membership.self.dataCentre = settings.dataCentre;
+  options.membership.self.incarnation = incarnation;
+  options.membership.seeds = settings.seeds;
+  options.membership.seed = options.seed + 2;
+  options.configuration.keyPrefix = settings.keyPrefix;
+  options.configuration.watcherInterval = settings.headPollInterval;
+  options.configuration.seed = options.seed + 3;
+  return options;
+}
+
+} // namespace
+
+HostShell::HostShell(Settings settings)
+    : settings_(std::move(settings)), incarnation_(newIncarnation()),
+      host_(hostOptions(settings_, incarnation_)), store_(settings_.keyValue) {}
+
+HostShell::~HostShell() = default;
+
+absl::Status HostShell::start() {
+  KeyValueCaller::Options callerOptions;
+  callerOptions.callsPerSecond = settings_.keyValueCallsPerSecond;
+  callerOptions.burst =
+      std::max<std::int64_t>(4, settings_.keyValueCallsPerSecond / 2);
+  keyValue_ = std::make_unique<KeyValueCaller>(
+      callerOptions, &store_, [this](KvCallId call, KvReply reply) {
+        deliver(KvReplied{call, std::move(reply)});
+      });
+  AttemptRunner::Options attemptOptions;
+  attemptOptions.maxThreads = static_cast<int>(settings_.maxRequests) * 2;
+  attempts_ = std::make_unique<AttemptRunner>(
+      attemptOptions, [this](Event event) { deliver(std::move(event)); });
+  PeerMesh::Options meshOptions;
+  meshOptions.host = settings_.host;
+  meshOptions.incarnation = incarnation_;
+  meshOptions.listen = settings_.peerListen;
+  meshOptions.peerKey = settings_.peerKey;
+  mesh_ = std::make_unique<PeerMesh>(
+      meshOptions, [this](const std::string &from, PeerMessage message) {
+        deliver(PeerSaid{from, std::move(message)});
+      });
+  if (absl::Status status = mesh_->start(); !status.ok())
+    return status;
+  threads_.emplace_back([this] { runTimer(); });
+  threads_.emplace_back([this] { runHostList(); });
+  threads_.emplace_back([this] { runLoadReports(); });
+  return absl::OkStatus();
+}
+
+bool HostShell::stop() {
+  deliver(StopRequested{});
+  const TimePoint giveUpAt = readClock().steady + settings_.stopTimeout;
+  while (host_.openRequests() > 0 && readClock().steady < giveUpAt)
+    std::this_thread::sleep_for(StopPoll);
+  const bool clean = host_.openRequests() == 0;
+  stopping_ = true;
+  wake_.notify_all();
+  for (std::thread &thread : threads_)
+    thread.join();
+  threads_.clear();
+  if (clean)
+    attempts_->join();
+  keyValue_->stop();
+  mesh_->stop();
+  return clean;
+}
+
+RequestId HostShell::submit(RequestArrived request) {
+  const RequestId id = nextRequest_++;
+  request.request = id;
+  desk_.open(id);
+  deliver(std::move(request));
+  return id;
+}
+
+CallerDesk::Delivery HostShell::wait(RequestId request, Duration wait) {
+  return desk_.wait(request, wait);
+}
+
+void HostShell::finish(RequestId request, bool callerGone) {
+  desk_.close(request);
+  if (callerGone)
+    deliver(CallerGone{request});
+}
+
+nlohmann::json HostShell::dump() const {
+  nlohmann::json json = host_.dump(readClock());
+  if (keyValue_) {
+    const KeyValueCaller::Counters calls = keyValue_->counters();
+    json["key_value"] = {{"made", calls.made},
+                         {"refused", calls.refused},
+                         {"failed", calls.failed}};
+  }
+  if (mesh_) {
+    const PeerMesh::Counters mesh = mesh_->counters();
+    json["peer_mesh"] = {{"messages_sent", mesh.messagesSent},
+                         {"bytes_sent", mesh.bytesSent},
+                         {"messages_received", mesh.messagesReceived},
+                         {"bytes_received", mesh.bytesReceived},
+                         {"refused", mesh.refused}};
+  }
+  return json;
+}
+
+std::size_t HostShell::inFlightAt(const std::string &upstream) const {
+  return host_.inFlightAt(upstream);
+}
+
+void HostShell::deliver(Event event) {
+  const bool tick = std::holds_alternative<Tick>(event);
+  Actions actions = host_.handle(std::move(event), readClock());
+  for (Action &action : actions)
+    perform(std::move(action));
+  if (!tick)
+    poke();
+}
+
+void HostShell::perform(Action action) {
+  std::visit([this](auto &&typed) { perform(std::move(typed)); },
+             std::move(action));
+}
+
+void HostShell::perform(StartAttempt action) {
+  logEvent(LogLevel::Debug, "attempt_started",
+           {{"attempt", toString(action.attempt)},
+            {"upstream", action.upstream},
+            {"route", action.route}});
+  attempts_->start(std::move(action));
+}
+
+void HostShell::perform(CancelAttempt action) { attempts_->cancel(action); }
+
+void HostShell::perform(AnswerCaller action) {
+  logEvent(LogLevel::Info, "request_answered",
+           {{"request", action.request},
+            {"outcome", toString(action.outcome)},
+            {"reason", action.reason}});
+  desk_.deliver(action);
+}
+
+void HostShell::perform(StreamToCaller action) { desk_.deliver(action); }
+
+void HostShell::perform(CallKeyValue action) {
+  keyValue_->submit(std::move(action));
+}
+
+void HostShell::perform(SendToPeer action) {
+  mesh_->send(action.host, action.endpoint, std::move(action.message));
+}
+
+void HostShell::perform(WriteNote action) {
+  std::string text;
+  for (const NoteField &field : action.fields) {
+    if (!text.empty())
+      text += ' ';
+    text += std::string(field.key) + "=" + field.value;
+  }
+  const LogLevel level = action.level == NoteLevel::Warning ? LogLevel::Warning
+                         : action.level == NoteLevel::Info  ? LogLevel::Info
+                                                            : LogLevel::Debug;
+  logEvent(level, action.event, {{"detail", text}});
+}
+
+void HostShell::poke() {
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    poked_ = true;
+  }
+  wake_.notify_all();
+}
+
+void HostShell::runTimer() {
+  while (!stopping_) {
+    deliver(Tick{});
+    const TimePoint now = readClock().steady;
+    const TimePoint due = std::min(host_.nextWake(), now + MaxTimerWait);
+    const Duration wait = std::max(MinTimerWait, Duration(due - now));
+    std::unique_lock<std::mutex> lock(mutex_);
+    wake_.wait_for(lock, wait, [this] { return poked_ || stopping_; });
+    poked_ = false;
+  }
+}
+
+bool HostShell::pause(Duration span) {
+  const TimePoint until = readClock().steady + span;
+  std::unique_lock<std::mutex> lock(mutex_);
+  while (!stopping_ && readClock().steady < until)
+    wake_.wait_for(lock, std::chrono::milliseconds(50));
+  return !stopping_;
+}
+
+void HostShell::runHostList() {
+  HostListClient client(settings_.hostList);
+  bool failing = false;
+  do {
+    absl::StatusOr<std::optional<HostList>> read = client.read();
+    if (read.ok() == failing) {
+      failing = !read.ok();
+      logEvent(failing ? LogLevel::Warning : LogLevel::Info,
+               failing ? "host_list_unreachable" : "host_list_reachable",
+               {{"detail", std::string(read.status().message())}});
+    }
+    if (!read.ok() || !read->has_value())
+      continue;
+    {
+      const std::lock_guard<std::mutex> lock(listMutex_);
+      list_ = **read;
+    }
+    deliver(HostListRead{std::move(**read)});
+  } while (pause(settings_.hostListInterval));
+}
+
+void HostShell::runLoadReports() {
+  while (pause(settings_.loadReportInterval)) {
+    HostList list;
+    {
+      const std::lock_guard<std::mutex> lock(listMutex_);
+      list = list_;
+    }
+    for (const ListedUpstream &upstream : list.upstreams) {
+      if (stopping_)
+        return;
+      absl::StatusOr<LoadReport> report = readLoad(upstream);
+      if (report.ok())
+        deliver(LoadReported{*std::move(report)});
+    }
+  }
+}
+
+} // namespace auburnspring
--- /dev/null
+++ b/src/auburnspring/test_main_test.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
--- /dev/null
+++ b/src/auburnspring/upstream/attempt_runner.cpp
@@ -0,0 +1,251 @@
+#include "auburnspring/upstream/attempt_runner.h"
+
+#include "auburnspring/upstream/upstream_protocol.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/HTTPClientSession.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/Net/StreamSocket.h>
+#include <Poco/Runnable.h>
+#include <Poco/ThreadPool.h>
+#include <absl/strings/match.h>
+#include <absl/strings/str_cat.h>
+
+#include <istream>
+#include <map>
+#include <mutex>
+#include <ostream>
+
+namespace auburnspring {
+
+namespace {
+
+constexpr int Ok = 200;
+constexpr int MinThreads = 8;
+constexpr Duration MinTimeout = std::chrono::milliseconds(1);
+
+Duration remaining(TimePoint deadline) {
+  const auto now =
+      std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
+  return std::max(MinTimeout, deadline - now);
+}
+
+Poco::Timespan toTimespan(Duration span) { return {span.count()}; }
+
+// Open sockets by attempt, so that a cancel can shut them.
+class SocketRegistry {
+public:
+  void add(const AttemptId &id, const Poco::Net::StreamSocket &socket) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    Entry &entry = entries_[id];
+    entry.socket = socket;
+    entry.connected = true;
+    if (entry.cancelled)
+      shut(&entry.socket);
+  }
+
+  void expect(const AttemptId &id) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    entries_[id];
+  }
+
+  void cancel(const AttemptId &id) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    const auto found = entries_.find(id);
+    if (found == entries_.end())
+      return;
+    found->second.cancelled = true;
+    if (found->second.connected)
+      shut(&found->second.socket);
+  }
+
+  /// Forgets the attempt; true if it was cancelled.
+  bool remove(const AttemptId &id) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    const auto found = entries_.find(id);
+    if (found == entries_.end())
+      return false;
+    const bool cancelled = found->second.cancelled;
+    entries_.erase(found);
+    return cancelled;
+  }
+
+private:
+  struct Entry {
+    Poco::Net::StreamSocket socket;
+    bool connected = false;
+    bool cancelled = false;
+  };
+
+  static void shut(Poco::Net::StreamSocket *socket) {
+    try {
+      socket->shutdown();
+    } catch (const Poco::Exception &) {
+      // It is closed already.
+    }
+  }
+
+  std::mutex mutex_;
+  std::map<AttemptId, Entry> entries_;
+};
+
+// One attempt on one thread.
+class AttemptTask : public Poco::Runnable {
+public:
+  AttemptTask(StartAttempt attempt, AttemptRunner::Options options,
+              SocketRegistry *sockets, const AttemptRunner::Report *report)
+      : attempt_(std::move(attempt)), options_(options), sockets_(sockets),
+        report_(report) {}
+
+  void run() override {
+    const std::unique_ptr<AttemptTask> self(this);
+    Event event = attempt();
+    if (sockets_->remove(attempt_.attempt)) {
+      if (auto *failed = std::get_if<AttemptFailed>(&event))
+        failed->kind = FailureKind::Cancelled;
+    }
+    (*report_)(std::move(event));
+  }
+
+  Event failure(FailureKind kind, std::string detail) const {
+    return AttemptFailed{attempt_.attempt, kind, std::move(detail), Usage()};
+  }
+
+private:
+  Event attempt() {
+    Poco::Net::StreamSocket socket;
+    const Duration left = remaining(attempt_.deadline);
+    try {
+      socket.connect(Poco::Net::SocketAddress(attempt_.endpoint.ip,
+                                              attempt_.endpoint.port),
+                     toTimespan(std::min(left, options_.connectTimeout)));
+      socket.setNoDelay(true);
+    } catch (const Poco::Exception &error) {
+      return failure(FailureKind::NotSent, error.displayText());
+    }
+    sockets_->add(attempt_.attempt, socket);
+    try {
+      return exchange(socket);
+    } catch (const Poco::Exception &error) {
+      return failure(FailureKind::Broken, error.displayText());
+    } catch (const std::exception &error) {
+      return failure(FailureKind::Broken, error.what());
+    }
+  }
+
+  // The session is made from a socket and knows no host, so POCO can't
+  // reconnect and send a second time by itself.
+  Event exchange(const Poco::Net::StreamSocket &socket) {
+    Poco::Net::HTTPClientSession session(socket);
+    session.setKeepAlive(false);
+    const bool stream = attempt_.kind == StageKind::Generate;
+    const Duration left = remaining(attempt_.deadline);
+    session.setTimeout(
+        toTimespan(stream ? std::min(left, options_.streamStall) : left));
+    Poco::Net::HTTPRequest request(Poco::Net::HTTPRequest::HTTP_POST,
+                                   attemptPath(attempt_.kind),
+                                   Poco::Net::HTTPMessage::HTTP_1_1);
+    const std::string body = attemptBody(attempt_);
+    request.setHost(attempt_.endpoint.ip, attempt_.endpoint.port);
+    request.setContentType("application/json");
+    request.setContentLength(static_cast<std::streamsize>(body.size()));
+    request.setKeepAlive(false);
+    session.sendRequest(request) << body << std::flush;
+    Poco::Net::HTTPResponse response;
+    std::istream &answer = session.receiveResponse(response);
+    if (stream && response.getStatus() == Ok)
+      return readStream(answer);
+    return readWhole(answer, response);
+  }
+
+  Event readWhole(std::istream &stream,
+                  const Poco::Net::HTTPResponse &response) const {
+    std::string body;
+    char buffer[16384];
+    while (stream.read(buffer, sizeof buffer) || stream.gcount() > 0) {
+      body.append(buffer, static_cast<std::size_t>(stream.gcount()));
+      if (body.size() > options_.maxAnswerBytes)
+        return failure(FailureKind::Broken, "the answer is too large");
+    }
+    const std::streamsize announced = response.getContentLength();
+    if (announced != static_cast<std::streamsize>(body.size()))
+      return failure(FailureKind::Broken, "the answer was cut short");
+    return readStageAnswer(attempt_.attempt,
+                           static_cast<int>(response.getStatus()), body);
+  }
+
+  Event readStream(std::istream &stream) const {
+    std::string text = attempt_.resumeText;
+    std::string line;
+    while (std::getline(stream, line)) {
+      if (!line.empty() && line.back() == '\r')
+        line.pop_back();
+      if (!absl::StartsWith(line, "data: "))
+        continue;
+      const auto event =
+          parseCompletionEvent(absl::string_view(line).substr(6));
+      if (!event || event->attempt != toString(attempt_.attempt))
+        return failure(FailureKind::Broken, "the stream is malformed");
+      if (event->offset != text.size())
+        return failure(FailureKind::Broken, "the stream has a gap");
+      text += event->text;
+      if (text.size() > options_.maxAnswerBytes)
+        return failure(FailureKind::Broken, "the answer is too large");
+      if (event->done)
+        return AttemptSucceeded{attempt_.attempt, std::move(text),
+                                event->usage};
+      (*report_)(AttemptProgress{attempt_.attempt, event->offset, event->text});
+    }
+    return failure(FailureKind::Broken, "the stream ended without its end");
+  }
+
+  StartAttempt attempt_;
+  AttemptRunner::Options options_;
+  SocketRegistry *sockets_;
+  const AttemptRunner::Report *report_;
+};
+
+} // namespace
+
+class AttemptRunner::Impl {
+public:
+  Impl(Options options, Report report)
+      : options_(options), report_(std::move(report)),
+        pool_(MinThreads, std::max(MinThreads, options.maxThreads)) {}
+
+  void start(StartAttempt attempt) {
+    sockets_.expect(attempt.attempt);
+    auto task = std::make_unique<AttemptTask>(std::move(attempt), options_,
+                                              &sockets_, &report_);
+    AttemptTask *raw = task.release();
+    try {
+      pool_.start(*raw);
+    } catch (const Poco::NoThreadAvailableException &) {
+      const std::unique_ptr<AttemptTask> owned(raw);
+      report_(owned->failure(FailureKind::NotSent, "no thread is free"));
+    }
+  }
+
+  void cancel(const AttemptId &id) { sockets_.cancel(id); }
+  void join() { pool_.joinAll(); }
+
+private:
+  Options options_;
+  Report report_;
+  SocketRegistry sockets_;
+  Poco::ThreadPool pool_;
+};
+
+AttemptRunner::AttemptRunner(Options options, Report report)
+    : impl_(std::make_unique<Impl>(options, std::move(report))) {}
+AttemptRunner::~AttemptRunner() = default;
+void AttemptRunner::start(StartAttempt attempt) {
+  impl_->start(std::move(attempt));
+}
+void AttemptRunner::cancel(const CancelAttempt &attempt) {
+  impl_->cancel(attempt.attempt);
+}
+void AttemptRunner::join() { impl_->join(); }
+
+} // namespace auburnspring
--- /dev/null
+++ b/src/auburnspring/wire/peer_codec.cpp
@@ -0,0 +1,189 @@
+#include "auburnspring/wire/peer_codec.h"
+
+#include <absl/strings/str_cat.h>
+#include <nlohmann/json.hpp>
+#include <openssl/crypto.h>
+#include <openssl/hmac.h>
+
+#include <array>
+
+namespace auburnspring {
+
+namespace {
+
+constexpr int Version = 1;
+constexpr std::size_t MacBytes = 32;
+constexpr std::size_t MaxRumours = 5000;
+
+using Mac = std::array<unsigned char, MacBytes>;
+
+Mac macOf(absl::string_view bytes, absl::string_view key) {
+  Mac mac{};
+  unsigned int length = 0;
+  HMAC(EVP_sha256(), key.data(), static_cast<int>(key.size()),
+       reinterpret_cast<const unsigned char *>(bytes.data()), bytes.size(),
+       mac.data(), &length);
+  return mac;
+}
+
+nlohmann::json toJson(const Endpoint &endpoint) { return toString(endpoint); }
+
+Endpoint readEndpoint(const nlohmann::json &json) {
+  return parseEndpoint(json.get<std::string>()).value_or(Endpoint());
+}
+
+nlohmann::json toJson(const Gossip &gossip) {
+  nlohmann::json members = nlohmann::json::array();
+  for (const MemberRumour &rumour : gossip.members)
+    members.push_back({rumour.host, toJson(rumour.endpoint),
+                       toJson(rumour.callers), rumour.dataCentre,
+                       rumour.incarnation,
+                       static_cast<unsigned>(rumour.state)});
+  nlohmann::json leaving = nlohmann::json::array();
+  for (const LeavingRumour &rumour : gossip.leaving)
+    leaving.push_back({rumour.upstream, rumour.incarnation});
+  return {{"g", gossip.generation}, {"m", members}, {"l", leaving}};
+}
+
+MemberRumour readMember(const nlohmann::json &json) {
+  MemberRumour rumour;
+  rumour.host = json.at(0).get<std::string>();
+  rumour.endpoint = readEndpoint(json.at(1));
+  rumour.callers = readEndpoint(json.at(2));
+  rumour.dataCentre = json.at(3).get<std::string>();
+  rumour.incarnation = json.at(4).get<std::uint64_t>();
+  const auto state = json.at(5).get<unsigned>();
+  rumour.state = static_cast<MemberState>(std::min(state, 3U));
+  return rumour;
+}
+
+Gossip readGossip(const nlohmann::json &json) {
+  Gossip gossip;
+  gossip.generation = json.at("g").get<std::uint64_t>();
+  for (const nlohmann::json &member : json.at("m")) {
+    if (gossip.members.size() >= MaxRumours)
+      break;
+    gossip.members.push_back(readMember(member));
+  }
+  for (const nlohmann::json &sign : json.at("l")) {
+    if (gossip.leaving.size() >= MaxRumours)
+      break;
+    gossip.leaving.push_back(
+        {sign.at(0).get<std::string>(), sign.at(1).get<std::string>()});
+  }
+  return gossip;
+}
+
+nlohmann::json toJson(const Ping &ping) {
+  return {{"seq", ping.sequence},
+          {"target", ping.target},
+          {"gossip", toJson(ping.gossip)}};
+}
+
+nlohmann::json toJson(const Ack &ack) {
+  return {{"seq", ack.sequence},
+          {"subject", ack.subject},
+          {"gossip", toJson(ack.gossip)}};
+}
+
+nlohmann::json toJson(const BundleRequest &request) {
+  return {{"generation", request.generation}};
+}
+
+nlohmann::json toJson(const BundleReply &reply) {
+  return {{"head", encodeHead(reply.bundle.head)},
+          {"texts", reply.bundle.texts}};
+}
+
+Ping readPing(const nlohmann::json &json) {
+  return {json.at("seq").get<std::uint64_t>(),
+          json.at("target").get<std::string>(), readGossip(json.at("gossip"))};
+}
+
+Ack readAck(const nlohmann::json &json) {
+  return {json.at("seq").get<std::uint64_t>(),
+          json.at("subject").get<std::string>(), readGossip(json.at("gossip"))};
+}
+
+BundleReply readBundle(const nlohmann::json &json) {
+  BundleReply reply;
+  absl::StatusOr<ConfigurationHead> head =
+      decodeHead(json.at("head").get<std::string>());
+  if (head.ok())
+    reply.bundle.head = *std::move(head);
+  reply.bundle.texts =
+      json.at("texts").get<std::map<std::string, std::string>>();
+  return reply;
+}
+
+absl::StatusOr<PeerMessage> readMessage(std::size_t kind,
+                                        const nlohmann::json &json) {
+  switch (kind) {
+  case 0:
+    return PeerMessage(readPing(json));
+  case 1:
+    return PeerMessage(readAck(json));
+  case 2:
+    return PeerMessage(
+        BundleRequest{json.at("generation").get<std::uint64_t>()});
+  case 3:
+    return PeerMessage(readBundle(json));
+  default:
+    return absl::UnimplementedError(
+        absl::StrCat("a peer message has the unknown kind ", kind));
+  }
+}
+
+} // namespace
+
+std::string encodeEnvelope(const PeerEnvelope &envelope,
+                           absl::string_view peerKey) {
+  const nlohmann::json json = {
+      {"v", Version},
+      {"from", envelope.from},
+      {"to", envelope.to},
+      {"inc", envelope.incarnation},
+      {"n", envelope.count},
+      {"kind", envelope.message.index()},
+      {"body",
+       std::visit([](const auto &m) { return toJson(m); }, envelope.message)}};
+  std::string body;
+  nlohmann::json::to_cbor(json, body);
+  const Mac mac = macOf(body, peerKey);
+  std::string bytes(mac.begin(), mac.end());
+  return bytes + body;
+}
+
+absl::StatusOr<PeerEnvelope> decodeEnvelope(absl::string_view bytes,
+                                            absl::string_view peerKey) {
+  if (bytes.size() < MacBytes || bytes.size() > MaxEnvelopeBytes)
+    return absl::InvalidArgumentError("a peer message has a wrong size");
+  const absl::string_view body = bytes.substr(MacBytes);
+  const Mac mac = macOf(body, peerKey);
+  if (CRYPTO_memcmp(mac.data(), bytes.data(), MacBytes) != 0)
+    return absl::PermissionDeniedError("a peer message has another key's MAC");
+  const nlohmann::json json =
+      nlohmann::json::from_cbor(body.begin(), body.end(), true, false);
+  if (json.is_discarded())
+    return absl::InvalidArgumentError("a peer message is not CBOR");
+  try {
+    if (json.at("v").get<int>() != Version)
+      return absl::UnimplementedError("a peer speaks another version");
+    PeerEnvelope envelope;
+    envelope.from = json.at("from").get<std::string>();
+    envelope.to = json.at("to").get<std::string>();
+    envelope.incarnation = json.at("inc").get<std::uint64_t>();
+    envelope.count = json.at("n").get<std::uint64_t>();
+    absl::StatusOr<PeerMessage> message =
+        readMessage(json.at("kind").get<std::size_t>(), json.at("body"));
+    if (!message.ok())
+      return message.status();
+    envelope.message = *std::move(message);
+    return envelope;
+  } catch (const nlohmann::json::exception &error) {
+    return absl::InvalidArgumentError(
+        absl::StrCat("a peer message is malformed: ", error.what()));
+  }
+}
+
+} // namespace auburnspring
