Scenario language and a runner on a virtual clock

The decisions run with small fakes at their interfaces: key-value service, upstreams, host list, peers. Each scenario also runs with the key-value service down and with one host frozen, when only violations count: an answer that is not the request's own, a false not-run, a key executed twice.

Also mends what the linter found in the thin path.

--- a/include/auburnspring/decision/entry_host.h
+++ b/include/auburnspring/decision/entry_host.h
@@ -80,21 +80,21 @@
   };
 
   void dispatch(Event event, Step *step);
-  void onEvent(RequestArrived event, Step *step);
-  void onEvent(CallerGone event, Step *step);
-  void onEvent(AttemptSucceeded event, Step *step);
-  void onEvent(AttemptFailed event, Step *step);
-  void onEvent(AttemptProgress event, Step *step);
-  void onEvent(Tick event, Step *step);
-  void onEvent(KvReplied event, Step *step);
-  void onEvent(HostListRead event, Step *step);
-  void onEvent(LoadReported event, Step *step);
-  void onEvent(PeerSaid event, Step *step);
-  void onEvent(StopRequested event, Step *step);
-  void onEvent(SlotGranted event, Step *step);
-  void onEvent(LeavingSeen event, Step *step);
-  void onEvent(GenerationHeard event, Step *step);
-  void onEvent(ClaimDecided event, Step *step);
+  void onEvent(RequestArrived &event, Step *step);
+  void onEvent(const CallerGone &event, Step *step);
+  void onEvent(const AttemptSucceeded &event, Step *step);
+  void onEvent(const AttemptFailed &event, Step *step);
+  void onEvent(const AttemptProgress &event, Step *step);
+  void onEvent(const Tick &event, Step *step);
+  void onEvent(const KvReplied &event, Step *step);
+  void onEvent(const HostListRead &event, Step *step);
+  void onEvent(const LoadReported &event, Step *step);
+  void onEvent(const PeerSaid &event, Step *step);
+  void onEvent(const StopRequested &event, Step *step);
+  void onEvent(const SlotGranted &event, Step *step);
+  void onEvent(const LeavingSeen &event, Step *step);
+  void onEvent(const GenerationHeard &event, Step *step);
+  void onEvent(const ClaimDecided &event, Step *step);
 
   template <typename F> bool withRun(RequestId request, F use);
   void rearm(Table *table, RequestId request);
--- a/include/auburnspring/platform/etcd_store.h
+++ b/include/auburnspring/platform/etcd_store.h
@@ -3,8 +3,8 @@
 
 #include "auburnspring/base/time.h"
 #include "auburnspring/config/settings.h"
+#include "auburnspring/decision/key_value_store.h"
 #include "auburnspring/platform/http_call.h"
-#include "auburnspring/platform/key_value_store.h"
 
 namespace auburnspring {
 
--- a/include/auburnspring/platform/key_value_caller.h
+++ b/include/auburnspring/platform/key_value_caller.h
@@ -3,7 +3,7 @@
 
 #include "auburnspring/base/time.h"
 #include "auburnspring/decision/action.h"
-#include "auburnspring/platform/key_value_store.h"
+#include "auburnspring/decision/key_value_store.h"
 
 #include <array>
 #include <condition_variable>
--- a/include/auburnspring/publishing/publisher.h
+++ b/include/auburnspring/publishing/publisher.h
@@ -2,7 +2,7 @@
 #define AUBURNSPRING_PUBLISHING_PUBLISHER_H
 
 #include "auburnspring/config/configuration.h"
-#include "auburnspring/platform/key_value_store.h"
+#include "auburnspring/decision/key_value_store.h"
 
 #include <cstdint>
 #include <functional>
--- a/include/auburnspring/shell/host_shell.h
+++ b/include/auburnspring/shell/host_shell.h
@@ -50,13 +50,13 @@
 private:
   void deliver(Event event);
   void perform(Action action);
-  void perform(StartAttempt action);
-  void perform(CancelAttempt action);
-  void perform(AnswerCaller action);
-  void perform(StreamToCaller action);
-  void perform(CallKeyValue action);
-  void perform(SendToPeer action);
-  void perform(WriteNote action);
+  void performTyped(StartAttempt &&action);
+  void performTyped(const CancelAttempt &action);
+  void performTyped(const AnswerCaller &action);
+  void performTyped(const StreamToCaller &action);
+  void performTyped(CallKeyValue &&action);
+  void performTyped(SendToPeer &&action);
+  void performTyped(const WriteNote &action);
   void runTimer();
   void runHostList();
   void runLoadReports();
--- a/src/auburnspring/daemon/main.cpp
+++ b/src/auburnspring/daemon/main.cpp
@@ -48,12 +48,14 @@
 };
 
 bool parseOptions(int argc, char **argv, Options *options) {
-  static const option Long[] = {{"settings", required_argument, nullptr, 's'},
-                                {"check", no_argument, nullptr, 'c'},
-                                {"help", no_argument, nullptr, 'h'},
-                                {nullptr, 0, nullptr, 0}};
+  static const option longOptions[] = {
+      {"settings", required_argument, nullptr, 's'},
+      {"check", no_argument, nullptr, 'c'},
+      {"help", no_argument, nullptr, 'h'},
+      {nullptr, 0, nullptr, 0}};
   int found = 0;
-  while ((found = getopt_long(argc, argv, "s:ch", Long, nullptr)) != -1) {
+  while ((found = getopt_long(argc, argv, "s:ch", longOptions, nullptr)) !=
+         -1) {
     switch (found) {
     case 's':
       options->settingsFile = optarg;
--- a/src/auburnspring/decision/entry_host.cpp
+++ b/src/auburnspring/decision/entry_host.cpp
@@ -7,8 +7,6 @@
 namespace {
 
 constexpr Duration RefusalComeBack = std::chrono::milliseconds(500);
-// Control work that has no timer of its own is looked at this often.
-constexpr Duration MaxControlWait = std::chrono::milliseconds(250);
 
 nlohmann::json costJson(const StageCost &cost) {
   return {{"attempts", cost.attempts.load()},
@@ -76,8 +74,7 @@
 }
 
 void EntryHost::dispatch(Event event, Step *step) {
-  std::visit([&](auto &&typed) { onEvent(std::move(typed), step); },
-             std::move(event));
+  std::visit([&](auto &typed) { onEvent(typed, step); }, event);
 }
 
 RunContext EntryHost::contextOf(Table *table) {
@@ -128,7 +125,7 @@
   step->act(std::move(refusal));
 }
 
-void EntryHost::onEvent(RequestArrived event, Step *step) {
+void EntryHost::onEvent(RequestArrived &event, Step *step) {
   struct Look {
     std::shared_ptr<const LiveRoute> route;
     bool stopping = false;
@@ -166,33 +163,33 @@
   rearm(&table, request);
 }
 
-void EntryHost::onEvent(CallerGone event, Step *step) {
+void EntryHost::onEvent(const CallerGone &event, Step *step) {
   withRun(event.request, [&](RequestRun &run, const RunContext &context) {
     run.onCallerGone(context, step);
   });
 }
 
-void EntryHost::onEvent(AttemptSucceeded event, Step *step) {
+void EntryHost::onEvent(const AttemptSucceeded &event, Step *step) {
   withRun(event.attempt.request,
           [&](RequestRun &run, const RunContext &context) {
             run.onSucceeded(event, context, step);
           });
 }
 
-void EntryHost::onEvent(AttemptFailed event, Step *step) {
+void EntryHost::onEvent(const AttemptFailed &event, Step *step) {
   withRun(event.attempt.request,
           [&](RequestRun &run, const RunContext &context) {
             run.onFailed(event, context, step);
           });
 }
 
-void EntryHost::onEvent(AttemptProgress event, Step *step) {
+void EntryHost::onEvent(const AttemptProgress &event, Step *step) {
   withRun(event.attempt.request, [&](RequestRun &run, const RunContext &) {
     run.onProgress(event, step);
   });
 }
 
-void EntryHost::onEvent(SlotGranted event, Step *step) {
+void EntryHost::onEvent(const SlotGranted &event, Step *step) {
   const bool found =
       withRun(event.request, [&](RequestRun &run, const RunContext &context) {
         run.onSlot(event, context, step);
@@ -205,7 +202,7 @@
     step->follow(SlotGranted{next.request, next.stage, next.part, event.pool});
 }
 
-void EntryHost::onEvent(ClaimDecided event, Step *step) {
+void EntryHost::onEvent(const ClaimDecided &event, Step *step) {
   withRun(event.request, [&](RequestRun &run, const RunContext &context) {
     run.onClaim(event, context, step);
   });
@@ -226,7 +223,7 @@
   }
 }
 
-void EntryHost::onEvent(Tick /*event*/, Step *step) {
+void EntryHost::onEvent(const Tick & /*event*/, Step *step) {
   ledger_.onTick(step);
   for (const auto &table : tables_)
     tickTable(table.get(), step);
@@ -242,7 +239,7 @@
     rebuild();
 }
 
-void EntryHost::onEvent(KvReplied event, Step *step) {
+void EntryHost::onEvent(const KvReplied &event, Step *step) {
   if (event.call.owner == KvOwner::Ledger)
     return ledger_.onReply(event.call, event.reply, step);
   const std::lock_guard<std::mutex> lock(control_);
@@ -250,18 +247,18 @@
   rebuildIfAccepted(step);
 }
 
-void EntryHost::onEvent(HostListRead event, Step *step) {
+void EntryHost::onEvent(const HostListRead &event, Step *step) {
   const std::lock_guard<std::mutex> lock(control_);
   if (directory_.onHostList(event.list, step))
     rebuild();
 }
 
-void EntryHost::onEvent(LoadReported event, Step *step) {
+void EntryHost::onEvent(const LoadReported &event, Step *step) {
   const std::lock_guard<std::mutex> lock(control_);
   directory_.onLoad(event.report, step);
 }
 
-void EntryHost::onEvent(LeavingSeen event, Step *step) {
+void EntryHost::onEvent(const LeavingSeen &event, Step *step) {
   const std::lock_guard<std::mutex> lock(control_);
   if (!directory_.onLeaving(event.rumour))
     return;
@@ -272,12 +269,12 @@
                        {"incarnation", event.rumour.incarnation}}});
 }
 
-void EntryHost::onEvent(GenerationHeard event, Step *step) {
+void EntryHost::onEvent(const GenerationHeard &event, Step *step) {
   const std::lock_guard<std::mutex> lock(control_);
   configuration_.onHeard(event, step);
 }
 
-void EntryHost::onEvent(PeerSaid event, Step *step) {
+void EntryHost::onEvent(const PeerSaid &event, Step *step) {
   const std::lock_guard<std::mutex> lock(control_);
   hearPeer(event.from, event.message, step);
 }
@@ -299,7 +296,7 @@
   }
 }
 
-void EntryHost::onEvent(StopRequested /*event*/, Step *step) {
+void EntryHost::onEvent(const StopRequested & /*event*/, Step *step) {
   const std::lock_guard<std::mutex> lock(control_);
   stopping_ = true;
   membership_.leave(step);
--- a/src/auburnspring/decision/upstream_directory.cpp
+++ b/src/auburnspring/decision/upstream_directory.cpp
@@ -6,8 +6,7 @@
 
 namespace auburnspring {
 
-UpstreamDirectory::UpstreamDirectory(Options options)
-    : options_(std::move(options)) {}
+UpstreamDirectory::UpstreamDirectory(Options options) : options_(options) {}
 
 // An empty or suddenly halved list is rather the list's own fault than news
 // that the upstreams have left.
--- /dev/null
+++ b/src/auburnspring/model/host_under_test.cpp
@@ -0,0 +1,29 @@
+#include "auburnspring/model/host_under_test.h"
+
+namespace auburnspring {
+
+namespace {
+
+class ProductHost : public HostUnderTest {
+public:
+  explicit ProductHost(EntryHost::Options options)
+      : host_(std::move(options)) {}
+
+  Actions handle(Event event, Instant now) override {
+    return host_.handle(std::move(event), now);
+  }
+  TimePoint nextWake() const override { return host_.nextWake(); }
+  bool isReady() const override { return host_.isReady(); }
+  nlohmann::json dump(Instant now) const override { return host_.dump(now); }
+
+private:
+  EntryHost host_;
+};
+
+} // namespace
+
+std::unique_ptr<HostUnderTest> makeEntryHost(EntryHost::Options options) {
+  return std::make_unique<ProductHost>(std::move(options));
+}
+
+} // namespace auburnspring
--- /dev/null
+++ b/src/auburnspring/model/world.cpp
@@ -0,0 +1,457 @@
+#include "auburnspring/model/world.h"
+
+#include "auburnspring/publishing/publisher.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace auburnspring {
+
+namespace {
+
+constexpr Duration NotSentDelay = std::chrono::milliseconds(1);
+constexpr WallTime WallStart{1700000000};
+
+std::string hostName(std::size_t index) {
+  return fmt::format("entry-{}", index + 1);
+}
+
+// Lives count up within a host and differ between hosts.
+std::uint64_t nextIncarnation(std::size_t index, std::uint64_t present) {
+  constexpr std::uint64_t Step = 10000;
+  return (present / Step + 1) * Step + index;
+}
+
+std::size_t hostIndex(const std::string &name) {
+  return static_cast<std::size_t>(std::stoul(name.substr(6))) - 1;
+}
+
+} // namespace
+
+World::World(Options options)
+    : options_(std::move(options)), keyValue_(&queue_, options_.seed + 1),
+      random_(options_.seed), hosts_(options_.hosts) {}
+
+Instant World::instant() const {
+  const auto since = queue_.now().time_since_epoch();
+  return {queue_.now(),
+          WallStart + std::chrono::duration_cast<WallTime>(since)};
+}
+
+void World::addUpstream(FakeUpstream::Options options) {
+  options.seed = random_();
+  const std::string name = options.name;
+  upstreams_[name] =
+      std::make_unique<FakeUpstream>(std::move(options), &queue_);
+}
+
+FakeUpstream &World::upstream(const std::string &name) {
+  return *upstreams_.at(name);
+}
+
+std::vector<FakeUpstream *> World::pool(const std::string &name) {
+  std::vector<FakeUpstream *> found;
+  for (const auto &[key, upstream] : upstreams_)
+    if (upstream->options().pool == name)
+      found.push_back(upstream.get());
+  return found;
+}
+
+EntryHost::Options World::hostOptions(std::size_t index,
+                                      std::uint64_t incarnation) const {
+  EntryHost::Options options;
+  options.host = hostName(index);
+  options.dataCentre = fmt::format("dc-{}", index % options_.dataCentres + 1);
+  options.incarnation = incarnation;
+  options.seed = options_.seed * 1000 + index * 10 + incarnation;
+  options.maxRequests = 4096;
+  options.ledger.host = options.host;
+  options.ledger.seed = options.seed + 1;
+  options.membership.self.host = options.host;
+  options.membership.self.dataCentre = options.dataCentre;
+  options.membership.self.incarnation = incarnation;
+  options.membership.seed = options.seed + 2;
+  options.configuration.seed = options.seed + 3;
+  for (std::size_t i = 0; i < options_.hosts; ++i)
+    if (i != index)
+      options.membership.seeds.push_back({hostName(i), Endpoint()});
+  return options;
+}
+
+void World::start() {
+  snapshotList();
+  for (std::size_t i = 0; i < hosts_.size(); ++i)
+    restart(i);
+}
+
+void World::restart(std::size_t index) {
+  HostSlot &slot = hosts_[index];
+  slot.incarnation = nextIncarnation(index, slot.incarnation);
+  slot.frozen = false;
+  slot.held.clear();
+  slot.records.clear();
+  slot.attempts.clear();
+  slot.wakeAt = TimePoint::max();
+  slot.host = options_.makeHost(hostOptions(index, slot.incarnation));
+  readHostList(index, slot.incarnation);
+  readLoads(index, slot.incarnation);
+  deliver(index, slot.incarnation, Tick{});
+}
+
+void World::kill(std::size_t index) {
+  HostSlot &slot = hosts_[index];
+  slot.host.reset();
+  slot.incarnation = nextIncarnation(index, slot.incarnation);
+}
+
+void World::freeze(std::size_t index) { hosts_[index].frozen = true; }
+
+void World::thaw(std::size_t index) {
+  HostSlot &slot = hosts_[index];
+  slot.frozen = false;
+  const std::vector<Event> held = std::move(slot.held);
+  slot.held.clear();
+  for (const Event &event : held)
+    deliver(index, slot.incarnation, event);
+  deliver(index, slot.incarnation, Tick{});
+}
+
+void World::stop(std::size_t index) {
+  deliver(index, hosts_[index].incarnation, StopRequested{});
+}
+
+void World::cut(std::size_t a, std::size_t b, bool broken) {
+  const auto way = std::make_pair(std::min(a, b), std::max(a, b));
+  if (broken)
+    broken_.insert(way);
+  else
+    broken_.erase(way);
+}
+
+void World::setHostList(bool stuck, bool empty) {
+  listStuck_ = stuck;
+  listEmpty_ = empty;
+}
+
+void World::deliver(std::size_t index, std::uint64_t incarnation, Event event) {
+  HostSlot &slot = hosts_[index];
+  if (!slot.host || slot.incarnation != incarnation)
+    return;
+  if (slot.frozen) {
+    slot.held.push_back(std::move(event));
+    return;
+  }
+  handle(index, std::move(event));
+}
+
+void World::handle(std::size_t index, Event event) {
+  Actions actions = hosts_[index].host->handle(std::move(event), instant());
+  for (Action &action : actions)
+    perform(index, std::move(action));
+  if (hosts_[index].host)
+    arm(index);
+}
+
+void World::arm(std::size_t index) {
+  HostSlot &slot = hosts_[index];
+  // A millisecond is the shell's own grain.
+  const TimePoint due =
+      std::max(slot.host->nextWake(),
+               queue_.now() + Duration(std::chrono::milliseconds(1)));
+  if (slot.wakeAt <= due && slot.wakeAt > queue_.now())
+    return;
+  slot.wakeAt = due;
+  queue_.at(due, [this, index, due, incarnation = slot.incarnation] {
+    if (hosts_[index].wakeAt == due)
+      deliver(index, incarnation, Tick{});
+  });
+}
+
+void World::perform(std::size_t index, Action action) {
+  if (auto *start = std::get_if<StartAttempt>(&action))
+    return startAttempt(index, std::move(*start));
+  if (const auto *cancel = std::get_if<CancelAttempt>(&action))
+    return cancelAttempt(index, *cancel);
+  if (const auto *answer = std::get_if<AnswerCaller>(&action))
+    return answerCaller(index, *answer);
+  if (const auto *call = std::get_if<CallKeyValue>(&action))
+    return callKeyValue(index, *call);
+  if (auto *send = std::get_if<SendToPeer>(&action))
+    return sendToPeer(index, std::move(*send));
+  const auto *part = std::get_if<StreamToCaller>(&action);
+  if (part == nullptr)
+    return;
+  const auto found = hosts_[index].records.find(part->request);
+  if (found == hosts_[index].records.end())
+    return;
+  CallerRecord &record = records_[found->second];
+  if (!record.firstToken)
+    record.firstToken = queue_.now();
+  record.streamed += part->text;
+}
+
+void World::startAttempt(std::size_t index, StartAttempt action) {
+  ++attemptsStarted;
+  HostSlot &slot = hosts_[index];
+  const std::uint64_t incarnation = slot.incarnation;
+  const AttemptId id = action.attempt;
+  slot.attempts[id] = {action.upstream, queue_.now()};
+  const auto deliverHere = [this, index, incarnation](Event event) {
+    queue_.after(options_.hostToUpstream, [this, index, incarnation, event] {
+      hear(index, incarnation, event);
+    });
+  };
+  // The shell gives an attempt up at its deadline, and a stream that stalls.
+  queue_.at(action.deadline, [this, index, incarnation, id] {
+    endAttempt(index, incarnation, id, "timed out");
+  });
+  if (action.kind == StageKind::Generate)
+    watchStream(index, incarnation, id);
+  queue_.after(options_.hostToUpstream, [this, action, deliverHere, id] {
+    const auto found = upstreams_.find(action.upstream);
+    if (found != upstreams_.end() && found->second->arrive(action, deliverHere))
+      return;
+    queue_.after(NotSentDelay, [deliverHere, id] {
+      deliverHere(AttemptFailed{id, FailureKind::NotSent, "refused", Usage()});
+    });
+  });
+}
+
+void World::hear(std::size_t index, std::uint64_t incarnation, Event event) {
+  HostSlot &slot = hosts_[index];
+  if (slot.incarnation != incarnation)
+    return;
+  if (const auto *progress = std::get_if<AttemptProgress>(&event)) {
+    const auto found = slot.attempts.find(progress->attempt);
+    if (found != slot.attempts.end())
+      found->second.heardAt = queue_.now();
+  } else if (const auto *done = std::get_if<AttemptSucceeded>(&event)) {
+    slot.attempts.erase(done->attempt);
+  } else if (const auto *failed = std::get_if<AttemptFailed>(&event)) {
+    slot.attempts.erase(failed->attempt);
+  }
+  deliver(index, incarnation, std::move(event));
+}
+
+void World::watchStream(std::size_t index, std::uint64_t incarnation,
+                        const AttemptId &id) {
+  queue_.after(options_.streamStall, [this, index, incarnation, id] {
+    HostSlot &slot = hosts_[index];
+    const auto found = slot.attempts.find(id);
+    if (slot.incarnation != incarnation || found == slot.attempts.end())
+      return;
+    if (queue_.now() - found->second.heardAt >= options_.streamStall)
+      return endAttempt(index, incarnation, id, "the stream stalled");
+    watchStream(index, incarnation, id);
+  });
+}
+
+// The connection is closed, at which an upstream stops what it can.
+void World::endAttempt(std::size_t index, std::uint64_t incarnation,
+                       const AttemptId &id, const char *detail) {
+  HostSlot &slot = hosts_[index];
+  if (slot.incarnation != incarnation || slot.attempts.count(id) == 0)
+    return;
+  cancelAttempt(index, CancelAttempt{id});
+  hear(index, incarnation,
+       AttemptFailed{id, FailureKind::Broken, detail, Usage()});
+}
+
+void World::cancelAttempt(std::size_t index, const CancelAttempt &action) {
+  const auto found = hosts_[index].attempts.find(action.attempt);
+  if (found == hosts_[index].attempts.end())
+    return;
+  queue_.after(options_.hostToUpstream,
+               [this, name = found->second.upstream, id = action.attempt] {
+                 upstreams_.at(name)->cancel(id);
+               });
+}
+
+void World::answerCaller(std::size_t index, const AnswerCaller &action) {
+  HostSlot &slot = hosts_[index];
+  const auto found = slot.records.find(action.request);
+  if (found == slot.records.end())
+    return;
+  CallerRecord &record = records_[found->second];
+  ++record.answers;
+  if (record.answer)
+    return;
+  record.answer = action;
+  record.answeredAt = queue_.now() + options_.callerToHost;
+  if (!record.firstToken && action.outcome == Outcome::Complete)
+    record.firstToken = record.answeredAt;
+}
+
+void World::callKeyValue(std::size_t index, const CallKeyValue &action) {
+  const std::uint64_t incarnation = hosts_[index].incarnation;
+  keyValue_.submit(
+      action.operation, options_.keyValueTimeout,
+      [this, index, incarnation, id = action.call](KvReply reply) {
+        deliver(index, incarnation, KvReplied{id, std::move(reply)});
+      });
+}
+
+void World::sendToPeer(std::size_t index, SendToPeer action) {
+  ++peerMessages;
+  const std::size_t to = hostIndex(action.host);
+  if (to >= hosts_.size() ||
+      broken_.count({std::min(index, to), std::max(index, to)}) > 0)
+    return;
+  queue_.after(options_.hostToHost, [this, index, to,
+                                     message = std::move(action.message)] {
+    deliver(to, hosts_[to].incarnation, PeerSaid{hostName(index), message});
+  });
+}
+
+void World::snapshotList() {
+  if (!listStuck_ || lists_.empty()) {
+    HostList list;
+    list.version = lists_.size() + 1;
+    for (const auto &[name, upstream] : upstreams_)
+      if (!upstream->faults.dead && !listEmpty_)
+        list.upstreams.push_back(upstream->listed());
+    lists_.emplace_back(queue_.now(), std::move(list));
+  }
+  queue_.after(options_.hostListInterval, [this] { snapshotList(); });
+}
+
+void World::readHostList(std::size_t index, std::uint64_t incarnation) {
+  if (hosts_[index].incarnation != incarnation)
+    return;
+  const TimePoint visible = queue_.now() - options_.hostListLag;
+  const HostList *shown = &lists_.front().second;
+  for (const auto &[time, list] : lists_)
+    if (time <= visible)
+      shown = &list;
+  deliver(index, incarnation, HostListRead{*shown});
+  queue_.after(options_.hostListInterval, [this, index, incarnation] {
+    readHostList(index, incarnation);
+  });
+}
+
+void World::readLoads(std::size_t index, std::uint64_t incarnation) {
+  if (hosts_[index].incarnation != incarnation)
+    return;
+  for (const auto &[name, upstream] : upstreams_) {
+    if (upstream->faults.dead || upstream->faults.frozen)
+      continue;
+    // The report is as old as the way there.
+    queue_.after(options_.hostToUpstream,
+                 [this, index, incarnation, report = upstream->report()] {
+                   deliver(index, incarnation, LoadReported{report});
+                 });
+  }
+  queue_.after(options_.loadReportInterval,
+               [this, index, incarnation] { readLoads(index, incarnation); });
+}
+
+std::uint64_t World::publish(const std::map<std::string, std::string> &files) {
+  Publisher publisher({}, &keyValue_);
+  PublishRequest request;
+  request.files = files;
+  request.publishId = fmt::format("publish-{}", ++publishes_);
+  request.author = "operator";
+  const PublishResult result = publisher.publish(request);
+  if (result.status != PublishStatus::Accepted)
+    return 0;
+  const auto bundle = publisher.readBundle();
+  if (bundle.ok())
+    routes_ = buildRoutes(*bundle).value();
+  return result.generation;
+}
+
+std::size_t World::call(std::size_t index, const std::string &route,
+                        const std::string &organisation, const std::string &key,
+                        const std::string &body, bool stream) {
+  HostSlot &slot = hosts_[index];
+  CallerRecord record;
+  record.route = route;
+  record.organisation = organisation;
+  record.key = key;
+  record.body = body;
+  record.host = index;
+  record.incarnation = slot.incarnation;
+  record.sentAt = queue_.now();
+  const std::size_t place = records_.size();
+  if (slot.host) {
+    record.request = slot.nextRequest++;
+    slot.records[record.request] = place;
+  }
+  RequestArrived arrived;
+  arrived.request = record.request;
+  arrived.organisation = organisation;
+  arrived.route = route;
+  arrived.key = key;
+  arrived.body = body;
+  arrived.stream = stream;
+  records_.push_back(std::move(record));
+  queue_.after(options_.callerToHost,
+               [this, index, arrived, incarnation = slot.incarnation] {
+                 deliver(index, incarnation, arrived);
+               });
+  return place;
+}
+
+void World::hangUp(std::size_t place) {
+  const CallerRecord &record = records_[place];
+  deliver(record.host, record.incarnation, CallerGone{record.request});
+}
+
+std::optional<std::string>
+World::expectedAnswer(const std::string &route, const std::string &body) const {
+  const auto found = routes_.find(route);
+  if (found == routes_.end())
+    return std::nullopt;
+  std::string context;
+  for (const Stage &stage : found->second->stages) {
+    std::vector<std::string> parts;
+    for (std::uint32_t part = 0; part < stage.parts; ++part)
+      parts.push_back(
+          stageResult(stage.kind, body, context, part, stage.maxTokens));
+    context = parts.size() == 1 ? parts.front() : nlohmann::json(parts).dump();
+  }
+  return context;
+}
+
+void World::checkRecord(const CallerRecord &record,
+                        std::vector<std::string> *wrong) const {
+  const std::string what =
+      fmt::format("{} {} key {} at entry-{}", record.route, record.body,
+                  record.key, record.host + 1);
+  if (record.answers > 1)
+    wrong->push_back(what + ": answered more than once");
+  if (!record.answer)
+    return;
+  const AnswerCaller &answer = *record.answer;
+  if (answer.outcome == Outcome::Complete) {
+    const auto expected = expectedAnswer(record.route, record.body);
+    if (expected && answer.body != *expected)
+      wrong->push_back(what + ": the answer is not the request's own");
+    if (!record.streamed.empty() &&
+        answer.body.compare(0, record.streamed.size(), record.streamed) != 0)
+      wrong->push_back(what + ": the stream is not the answer's start");
+  }
+  if (answer.outcome != Outcome::NotRun)
+    return;
+  for (const auto &[name, upstream] : upstreams_)
+    for (const AttemptId &id : upstream->executions)
+      if (id.request == record.request && id.incarnation == record.incarnation)
+        wrong->push_back(what + ": told not-run, but ran at " + name);
+}
+
+std::vector<std::string> World::violations() const {
+  std::vector<std::string> wrong;
+  std::map<std::string, int> byKey;
+  for (const auto &[name, upstream] : upstreams_)
+    for (const auto &[key, count] : upstream->executionsByKey)
+      byKey[upstream->options().pool + "/" + key] += count;
+  for (const auto &[key, count] : byKey)
+    if (count > 1)
+      wrong.push_back(fmt::format("{} was executed {} times", key, count));
+  for (const CallerRecord &record : records_)
+    checkRecord(record, &wrong);
+  return wrong;
+}
+
+} // namespace auburnspring
--- a/src/auburnspring/peer/peer_mesh.cpp
+++ b/src/auburnspring/peer/peer_mesh.cpp
@@ -94,10 +94,10 @@
   client_.set_close_handshake_timeout(HandshakeTimeoutMillis);
   server_.set_open_handshake_timeout(HandshakeTimeoutMillis);
   server_.set_close_handshake_timeout(HandshakeTimeoutMillis);
-  server_.set_message_handler(
-      [this](websocketpp::connection_hdl, WsServer::message_ptr message) {
-        onBytes(message->get_payload());
-      });
+  server_.set_message_handler([this](const websocketpp::connection_hdl &,
+                                     const WsServer::message_ptr &message) {
+    onBytes(message->get_payload());
+  });
   if (!error)
     server_.listen(asio::ip::tcp::endpoint(
                        asio::ip::address::from_string(options_.listen.ip),
@@ -164,10 +164,11 @@
   if (error)
     return nullptr;
   connection->set_open_handler(
-      [this, host, connection](websocketpp::connection_hdl) {
+      [this, host, connection](const websocketpp::connection_hdl &) {
         onOpen(host, connection);
       });
-  const auto ended = [this, host, connection](websocketpp::connection_hdl) {
+  const auto ended = [this, host,
+                      connection](const websocketpp::connection_hdl &) {
     onEnd(host, connection);
   };
   connection->set_fail_handler(ended);
--- a/src/auburnspring/server/route_handler.cpp
+++ b/src/auburnspring/server/route_handler.cpp
@@ -95,7 +95,6 @@
   case Outcome::Complete:
     return 200;
   case Outcome::NotRun:
-    return ServiceUnavailable;
   case Outcome::Incomplete:
     return ServiceUnavailable;
   case Outcome::Unknown:
--- a/src/auburnspring/shell/host_shell.cpp
+++ b/src/auburnspring/shell/host_shell.cpp
@@ -166,11 +166,10 @@
 }
 
 void HostShell::perform(Action action) {
-  std::visit([this](auto &&typed) { perform(std::move(typed)); },
-             std::move(action));
+  std::visit([this](auto &typed) { performTyped(std::move(typed)); }, action);
 }
 
-void HostShell::perform(StartAttempt action) {
+void HostShell::performTyped(StartAttempt &&action) {
   logEvent(LogLevel::Debug, "attempt_started",
            {{"attempt", toString(action.attempt)},
             {"upstream", action.upstream},
@@ -178,9 +177,11 @@
   attempts_->start(std::move(action));
 }
 
-void HostShell::perform(CancelAttempt action) { attempts_->cancel(action); }
+void HostShell::performTyped(const CancelAttempt &action) {
+  attempts_->cancel(action);
+}
 
-void HostShell::perform(AnswerCaller action) {
+void HostShell::performTyped(const AnswerCaller &action) {
   logEvent(LogLevel::Info, "request_answered",
            {{"request", action.request},
             {"outcome", toString(action.outcome)},
@@ -188,17 +189,19 @@
   desk_.deliver(action);
 }
 
-void HostShell::perform(StreamToCaller action) { desk_.deliver(action); }
+void HostShell::performTyped(const StreamToCaller &action) {
+  desk_.deliver(action);
+}
 
-void HostShell::perform(CallKeyValue action) {
+void HostShell::performTyped(CallKeyValue &&action) {
   keyValue_->submit(std::move(action));
 }
 
-void HostShell::perform(SendToPeer action) {
+void HostShell::performTyped(SendToPeer &&action) {
   mesh_->send(action.host, action.endpoint, std::move(action.message));
 }
 
-void HostShell::perform(WriteNote action) {
+void HostShell::performTyped(const WriteNote &action) {
   std::string text;
   for (const NoteField &field : action.fields) {
     if (!text.empty())
--- a/stand_ins/common/stand_in_options.cpp
+++ b/stand_ins/common/stand_in_options.cpp
@@ -40,14 +40,16 @@
 }
 
 StandInOptions parseStandInOptions(int argc, char **argv, const char *usage) {
-  static const option Long[] = {{"listen", required_argument, nullptr, 'l'},
-                                {"port-file", required_argument, nullptr, 'p'},
-                                {"set", required_argument, nullptr, 's'},
-                                {"help", no_argument, nullptr, 'h'},
-                                {nullptr, 0, nullptr, 0}};
+  static const option longOptions[] = {
+      {"listen", required_argument, nullptr, 'l'},
+      {"port-file", required_argument, nullptr, 'p'},
+      {"set", required_argument, nullptr, 's'},
+      {"help", no_argument, nullptr, 'h'},
+      {nullptr, 0, nullptr, 0}};
   StandInOptions options;
   int found = 0;
-  while ((found = getopt_long(argc, argv, "l:p:s:h", Long, nullptr)) != -1) {
+  while ((found = getopt_long(argc, argv, "l:p:s:h", longOptions, nullptr)) !=
+         -1) {
     const std::string value = optarg == nullptr ? "" : optarg;
     const std::size_t equals = value.find('=');
     if (found == 'l' && auburnspring::parseEndpoint(value))
