--- a/include/auburnspring/decision/entry_host.h
+++ b/include/auburnspring/decision/entry_host.h
@@ -98,7 +98,8 @@
 
   template <typename F> bool withRun(RequestId request, F use);
   void rearm(Table *table, RequestId request);
-  void refuse(const RequestArrived &event, const char *reason, Step *step);
+  void refuse(const RequestArrived &event, const char *reason,
+              bool mayHaveRunEarlier, Step *step);
   void tickTable(Table *table, Step *step);
   void tickControl(Step *step);
   void hearPeer(const std::string &from, const PeerMessage &message,
--- a/include/auburnspring/decision/event.h
+++ b/include/auburnspring/decision/event.h
@@ -24,6 +24,9 @@
   std::string route;
   /// The caller's Idempotency-Key; empty if it gave none.
   std::string key;
+  /// The caller vouches that no other call with this key is open or has ended
+  /// in doubt. Without it a refusal that could not look the key up is Unknown.
+  bool firstTry = false;
   std::string body;
   /// The caller's own deadline, if it is shorter than the route's.
   std::optional<Duration> deadline;
--- a/include/auburnspring/decision/outcome.h
+++ b/include/auburnspring/decision/outcome.h
@@ -9,7 +9,8 @@
 enum class Outcome {
   /// The whole answer.
   Complete,
-  /// No stage has run and none will.
+  /// No stage has run and none will, in this call or, for a route that is never
+  /// repeated, in any earlier call with its key.
   NotRun,
   /// Stages that may be repeated have run, no other has run or will. Sending
   /// the request again is safe.
--- a/include/auburnspring/decision/request_run.h
+++ b/include/auburnspring/decision/request_run.h
@@ -79,6 +79,7 @@
   bool cannotFinish(TimePoint now) const;
   std::size_t liveOn(std::uint32_t part) const;
 
+  void admit(const RunContext &context, Step *step);
   void askForClaim(bool refresh, const RunContext &context, Step *step);
   void lookAgainLater(Step *step);
   void relay(const ClaimDecided &event, const RunContext &context, Step *step);
@@ -105,6 +106,7 @@
   void reject(const std::string &reason, const RunContext &context, Step *step);
   void answer(AnswerCaller answer, const RunContext &context, Step *step);
   void settle(const RunContext &context, Step *step);
+  bool mayHaveRunEarlier() const;
   Duration comeBackAfter(const RunContext &context) const;
   void countCost(const LiveAttempt &attempt, const Usage &usage, bool useful);
   StageCost &costOf(const AttemptId &id) const;
@@ -127,6 +129,10 @@
   /// The ledger holds a claim for this run that is not settled.
   bool claimed_ = false;
   bool claimPending_ = false;
+  /// Claims asked for so far.
+  int claims_ = 0;
+  /// The ledger has shown that no earlier call with the key has run.
+  bool keyIsFresh_ = false;
   /// Another host holds the key and may run or have run it.
   bool otherMayRun_ = false;
   /// Attempts that have or may have run.
--- a/include/auburnspring/model/fake_upstream.h
+++ b/include/auburnspring/model/fake_upstream.h
@@ -81,6 +81,12 @@
   std::vector<AttemptId> executions;
   /// Executions of once-only attempts by the caller's key.
   std::map<std::string, int> executionsByKey;
+  /// The first execution of each key.
+  struct Execution {
+    AttemptId attempt;
+    TimePoint at;
+  };
+  std::map<std::string, Execution> firstExecution;
   Duration busy{0};
 
 private:
--- a/include/auburnspring/model/world.h
+++ b/include/auburnspring/model/world.h
@@ -79,7 +79,8 @@
   /// Sends a request to a host; the index of its record.
   std::size_t call(std::size_t host, const std::string &route,
                    const std::string &organisation, const std::string &key,
-                   const std::string &body, bool stream = false);
+                   const std::string &body, bool stream = false,
+                   bool firstTry = false);
   const std::vector<CallerRecord> &records() const { return records_; }
 
   void kill(std::size_t host);
@@ -145,6 +146,7 @@
   void readHostList(std::size_t host, std::uint64_t incarnation);
   void readLoads(std::size_t host, std::uint64_t incarnation);
   void snapshotList();
+  TimePoint sentAt(const AttemptId &id) const;
   void checkRecord(const CallerRecord &record,
                    std::vector<std::string> *wrong) const;
 
--- a/src/auburnspring/decision/entry_host.cpp
+++ b/src/auburnspring/decision/entry_host.cpp
@@ -116,10 +116,10 @@
 }
 
 void EntryHost::refuse(const RequestArrived &event, const char *reason,
-                       Step *step) {
+                       bool mayHaveRunEarlier, Step *step) {
   AnswerCaller refusal;
   refusal.request = event.request;
-  refusal.outcome = Outcome::NotRun;
+  refusal.outcome = mayHaveRunEarlier ? Outcome::Unknown : Outcome::NotRun;
   refusal.reason = reason;
   refusal.retryAfter = RefusalComeBack;
   step->act(std::move(refusal));
@@ -136,10 +136,14 @@
     return Look{found == snapshot.routes.end() ? nullptr : found->second,
                 snapshot.stopping, snapshot.generation > 0};
   });
+  // Without its route, any request with a key counts as never repeated.
+  const bool never =
+      !look.route || look.route->route->repeat == RepeatRule::Never;
+  const bool inDoubt = never && !event.key.empty() && !event.firstTry;
   if (look.stopping)
-    return refuse(event, "this host is stopping", step);
+    return refuse(event, "this host is stopping", inDoubt, step);
   if (!look.route && !look.configured)
-    return refuse(event, "this host has no configuration yet", step);
+    return refuse(event, "this host has no configuration yet", inDoubt, step);
   if (!look.route) {
     AnswerCaller rejected;
     rejected.request = event.request;
@@ -150,7 +154,8 @@
   }
   if (openRequests_.fetch_add(1) >= options_.maxRequests) {
     --openRequests_;
-    return refuse(event, "this host holds as many requests as it may", step);
+    return refuse(event, "this host holds as many requests as it may", inDoubt,
+                  step);
   }
   const RequestId request = event.request;
   Table &table = tableOf(request);
--- a/src/auburnspring/decision/request_run.cpp
+++ b/src/auburnspring/decision/request_run.cpp
@@ -79,27 +79,34 @@
 }
 
 void RequestRun::start(const RunContext &context, Step *step) {
-  const std::shared_ptr<const Pool> first =
-      pool(route().stages.front().pool, context);
-  const Duration wait = first ? first->state->gate.expectedWait() : Duration(0);
-  if (step->now.steady + wait + expectedFrom(0, 0.5) > deadline_)
-    return giveUp("the stages can't finish within the deadline", context, step);
   if (route().repeat == RepeatRule::Always)
-    return beginStage(0, context, step);
+    return admit(context, step);
   if (arrived_.key.empty())
     return reject("the route is never repeated and needs an Idempotency-Key",
                   context, step);
   scopedKey_ = scopedKey(arrived_.organisation, arrived_.route, arrived_.key);
   bodyDigest_ = digestHex(arrived_.body);
-  nonce_ = absl::StrCat(context.host, "/", absl::Hex(context.incarnation), "/",
-                        arrived_.request);
   askForClaim(false, context, step);
 }
 
+// Refuses at once what can't finish in time.
+void RequestRun::admit(const RunContext &context, Step *step) {
+  const std::shared_ptr<const Pool> first =
+      pool(route().stages.front().pool, context);
+  const Duration wait = first ? first->state->gate.expectedWait() : Duration(0);
+  if (step->now.steady + wait + expectedFrom(0, 0.5) > deadline_)
+    return giveUp("the stages can't finish within the deadline", context, step);
+  beginStage(0, context, step);
+}
+
 void RequestRun::askForClaim(bool refresh, const RunContext &context,
                              Step *step) {
   phase_ = Phase::Claiming;
   claimPending_ = true;
+  // Each claim has a nonce of its own: the release of one that was given up
+  // may still be under way and must not undo the next.
+  nonce_ = absl::StrCat(context.host, "/", absl::Hex(context.incarnation), "/",
+                        arrived_.request, "/", ++claims_);
   lookAgainAt_ = TimePoint::max();
   Claim claim;
   claim.request = arrived_.request;
@@ -127,10 +134,11 @@
   switch (event.verdict) {
   case ClaimVerdict::Granted:
     otherMayRun_ = false;
+    keyIsFresh_ = true;
     phase_ = Phase::Running;
     if (step->now.steady >= deadline_)
       return giveUp("the claim came after the deadline", context, step);
-    return beginStage(0, context, step);
+    return admit(context, step);
   case ClaimVerdict::Mismatch:
     return reject("the Idempotency-Key was used with another body", context,
                   step);
@@ -540,13 +548,20 @@
                                             jitter(context.random)));
 }
 
+// A caller that calls again after an answer it never got must not be told
+// not-run by a host that could not look its key up.
+bool RequestRun::mayHaveRunEarlier() const {
+  return route().repeat == RepeatRule::Never && !arrived_.key.empty() &&
+         !arrived_.firstTry && !keyIsFresh_;
+}
+
 void RequestRun::giveUp(const std::string &reason, const RunContext &context,
                         Step *step) {
   AnswerCaller given;
   given.outcome = Outcome::NotRun;
   if (mayHaveRun_ > 0)
     given.outcome = Outcome::Incomplete;
-  if (onceMayHaveRun_ || otherMayRun_)
+  if (onceMayHaveRun_ || otherMayRun_ || mayHaveRunEarlier())
     given.outcome = Outcome::Unknown;
   given.reason = reason;
   given.retryAfter = comeBackAfter(context);
--- a/src/auburnspring/model/fake_upstream.cpp
+++ b/src/auburnspring/model/fake_upstream.cpp
@@ -191,8 +191,11 @@
 
 void FakeUpstream::execute(const Job &job) {
   executions.push_back(job.attempt.attempt);
-  if (job.attempt.once)
-    ++executionsByKey[job.attempt.key];
+  if (!job.attempt.once)
+    return;
+  ++executionsByKey[job.attempt.key];
+  firstExecution.emplace(job.attempt.key,
+                         Execution{job.attempt.attempt, queue_->now()});
 }
 
 Usage FakeUpstream::usageOf(const Job &job) const {
--- a/src/auburnspring/model/world.cpp
+++ b/src/auburnspring/model/world.cpp
@@ -363,7 +363,7 @@
 
 std::size_t World::call(std::size_t index, const std::string &route,
                         const std::string &organisation, const std::string &key,
-                        const std::string &body, bool stream) {
+                        const std::string &body, bool stream, bool firstTry) {
   HostSlot &slot = hosts_[index];
   CallerRecord record;
   record.route = route;
@@ -385,6 +385,7 @@
   arrived.key = key;
   arrived.body = body;
   arrived.stream = stream;
+  arrived.firstTry = firstTry;
   records_.push_back(std::move(record));
   queue_.after(options_.callerToHost,
                [this, index, arrived, incarnation = slot.incarnation] {
@@ -414,6 +415,13 @@
   return context;
 }
 
+TimePoint World::sentAt(const AttemptId &id) const {
+  for (const CallerRecord &record : records_)
+    if (record.request == id.request && record.incarnation == id.incarnation)
+      return record.sentAt;
+  return TimePoint::max();
+}
+
 void World::checkRecord(const CallerRecord &record,
                         std::vector<std::string> *wrong) const {
   const std::string what =
@@ -434,6 +442,15 @@
   }
   if (answer.outcome != Outcome::NotRun)
     return;
+  for (const auto &[name, upstream] : upstreams_) {
+    const auto ran = upstream->firstExecution.find(record.key);
+    if (record.key.empty() || ran == upstream->firstExecution.end())
+      continue;
+    // A call that the caller made later is no earlier call's business.
+    if (ran->second.at < record.answeredAt &&
+        sentAt(ran->second.attempt) < record.sentAt)
+      wrong->push_back(what + ": told not-run, but its key had run at " + name);
+  }
   for (const auto &[name, upstream] : upstreams_)
     for (const AttemptId &id : upstream->executions)
       if (id.request == record.request && id.incarnation == record.incarnation)
--- a/src/auburnspring/server/route_handler.cpp
+++ b/src/auburnspring/server/route_handler.cpp
@@ -132,6 +132,7 @@
   arrived->weight = organisation->weight;
   arrived->route = route_;
   arrived->key = request.get("Idempotency-Key", "");
+  arrived->firstTry = request.get("X-First-Try", "") == "true";
   if (arrived->key.size() > MaxKeyBytes)
     return fmt::format("Idempotency-Key: found {} bytes, allowed are {}",
                        arrived->key.size(), MaxKeyBytes);
