--- a/include/auburnspring/decision/request_run.h
+++ b/include/auburnspring/decision/request_run.h
@@ -76,7 +76,8 @@
                                    const RunContext &context) const;
 
   Duration expectedFrom(std::size_t stage, double quantile) const;
-  bool cannotFinish(TimePoint now) const;
+  bool cannotFinish(TimePoint now, double quantile) const;
+  double startQuantile() const;
   std::size_t liveOn(std::uint32_t part) const;
 
   void admit(const RunContext &context, Step *step);
--- a/include/auburnspring/model/fake_upstream.h
+++ b/include/auburnspring/model/fake_upstream.h
@@ -22,6 +22,11 @@
                         const std::string &context, std::uint32_t part,
                         std::int64_t maxTokens);
 
+/// How executions of a caller's key are counted: keys of two organisations or
+/// routes are different keys.
+std::string executionKey(const std::string &organisation,
+                         const std::string &route, const std::string &key);
+
 /// One upstream on the virtual clock: slots, a queue by priority, and the
 /// faults that upstreams have.
 class FakeUpstream {
@@ -79,7 +84,7 @@
   std::uint64_t incarnation = 1;
   /// Attempts that have had their effect, in order.
   std::vector<AttemptId> executions;
-  /// Executions of once-only attempts by the caller's key.
+  /// Executions of once-only attempts by executionKey().
   std::map<std::string, int> executionsByKey;
   /// The first execution of each key.
   struct Execution {
--- a/src/auburnspring/decision/request_run.cpp
+++ b/src/auburnspring/decision/request_run.cpp
@@ -22,6 +22,8 @@
 constexpr Duration MinComeBack = std::chrono::milliseconds(200);
 constexpr Duration MinHedgeDelay = std::chrono::milliseconds(10);
 constexpr double GenerateHedgeWeight = 0.8;
+// What even a quick run of the remaining stages can't finish is hopeless.
+constexpr double HopelessQuantile = 0.1;
 
 bool provesNotRun(FailureKind kind) {
   return kind == FailureKind::NotSent || kind == FailureKind::Refused ||
@@ -66,11 +68,14 @@
   return sum;
 }
 
-bool RequestRun::cannotFinish(TimePoint now) const {
-  constexpr double Optimistic = 0.1;
-  return now + expectedFrom(stage_, Optimistic) > deadline_;
+bool RequestRun::cannotFinish(TimePoint now, double quantile) const {
+  return now + expectedFrom(stage_, quantile) > deadline_;
 }
 
+// A call that can't be repeated must not be begun unless it will very likely
+// end in time: a late one leaves its caller in doubt and its slot wasted.
+double RequestRun::startQuantile() const { return isOnceStage() ? 0.95 : 0.4; }
+
 std::size_t RequestRun::liveOn(std::uint32_t part) const {
   return static_cast<std::size_t>(std::count_if(
       attempts_.begin(), attempts_.end(), [&](const LiveAttempt &a) {
@@ -177,7 +182,7 @@
     return giveUp(absl::StrCat("no upstream is listed for pool ", stage().pool),
                   context, step);
   stagePool_ = found->state;
-  if (cannotFinish(step->now.steady))
+  if (cannotFinish(step->now.steady, HopelessQuantile))
     return giveUp("the remaining stages can't finish within the deadline",
                   context, step);
   for (std::uint32_t part = 0; part < parts_.size() && !answered_; ++part)
@@ -225,7 +230,8 @@
   const TimePoint now = step->now.steady;
   const std::shared_ptr<const Pool> found = pool(stage().pool, context);
   WorkerPtr worker;
-  if (found && !cannotFinish(now)) {
+  const bool late = cannotFinish(now, startQuantile());
+  if (found && !late) {
     ChoiceRequest choice;
     choice.model = stage().model;
     if (stage().kind == StageKind::Generate)
@@ -238,10 +244,9 @@
     releaseSlot(stagePool_, step);
     if (liveOn(part) > 0)
       return;
-    return giveUp(cannotFinish(now)
-                      ? "the remaining stages can't finish within the deadline"
-                      : absl::StrCat("no upstream of pool ", stage().pool,
-                                     " takes new work"),
+    return giveUp(late ? "the remaining stages can't finish within the deadline"
+                       : absl::StrCat("no upstream of pool ", stage().pool,
+                                      " takes new work"),
                   context, step);
   }
   LiveAttempt attempt;
@@ -454,7 +459,7 @@
   if (liveOn(attempt.id.part) > 0)
     return;
   const bool allowed = run.attempts < MaxAttempts &&
-                       !cannotFinish(step->now.steady) &&
+                       !cannotFinish(step->now.steady, HopelessQuantile) &&
                        stagePool_->budget.spend();
   if (!allowed)
     return giveUp(absl::StrCat("stage ", stage().name, " failed at ",
--- a/src/auburnspring/model/fake_upstream.cpp
+++ b/src/auburnspring/model/fake_upstream.cpp
@@ -46,6 +46,11 @@
                      stableHash(input + "|" + context), part);
 }
 
+std::string executionKey(const std::string &organisation,
+                         const std::string &route, const std::string &key) {
+  return organisation + "/" + route + "/" + key;
+}
+
 FakeUpstream::FakeUpstream(Options options, EventQueue *queue)
     : options_(std::move(options)), queue_(queue), random_(options_.seed) {}
 
@@ -193,9 +198,10 @@
   executions.push_back(job.attempt.attempt);
   if (!job.attempt.once)
     return;
-  ++executionsByKey[job.attempt.key];
-  firstExecution.emplace(job.attempt.key,
-                         Execution{job.attempt.attempt, queue_->now()});
+  const std::string key = executionKey(job.attempt.organisation,
+                                       job.attempt.route, job.attempt.key);
+  ++executionsByKey[key];
+  firstExecution.emplace(key, Execution{job.attempt.attempt, queue_->now()});
 }
 
 Usage FakeUpstream::usageOf(const Job &job) const {
--- a/src/auburnspring/model/world.cpp
+++ b/src/auburnspring/model/world.cpp
@@ -443,7 +443,8 @@
   if (answer.outcome != Outcome::NotRun)
     return;
   for (const auto &[name, upstream] : upstreams_) {
-    const auto ran = upstream->firstExecution.find(record.key);
+    const auto ran = upstream->firstExecution.find(
+        executionKey(record.organisation, record.route, record.key));
     if (record.key.empty() || ran == upstream->firstExecution.end())
       continue;
     // A call that the caller made later is no earlier call's business.
--- a/src/auburnspring/scenario/scenario_runner.cpp
+++ b/src/auburnspring/scenario/scenario_runner.cpp
@@ -392,10 +392,9 @@
     return false;
   int found = 0;
   for (const ScenarioPool &pool : scenario_.pools)
-    for (const FakeUpstream *one : world_->pool(pool.options.pool)) {
-      const auto count = one->executionsByKey.find(words[2]);
-      found += count == one->executionsByKey.end() ? 0 : count->second;
-    }
+    for (const FakeUpstream *one : world_->pool(pool.options.pool))
+      for (const auto &[key, count] : one->executionsByKey)
+        found += absl::EndsWith(key, "/" + words[2]) ? count : 0;
   check(words[3] == "is" ? found == wanted : found <= wanted,
         std::to_string(found));
   return words[3] == "is" || words[3] == "at-most";
@@ -454,7 +453,8 @@
     return false;
   int alive = 0;
   const Instant now{world_->now(), WallTime(0)};
-  for (const nlohmann::json &member : host->dump(now).at("members"))
+  const nlohmann::json dump = host->dump(now);
+  for (const nlohmann::json &member : dump.at("members"))
     alive += member.at("state") == "alive" || member.at("state") == "suspect";
   check(std::to_string(alive) == words[2], std::to_string(alive));
   return true;
