--- /dev/null
+++ b/bench/ledger_load.cpp
@@ -0,0 +1,234 @@
+// Writes a request and added latency of claims at rising load, for three ways
+// to claim a key: a write for each claim and outcome, shards written by
+// whichever host has the request, and shards written by one preferred host.
+#include "auburnspring/decision/ledger.h"
+#include "auburnspring/model/event_queue.h"
+#include "auburnspring/model/fake_key_value.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cstdlib>
+#include <map>
+#include <memory>
+
+namespace {
+
+using namespace auburnspring;
+
+constexpr Duration Hop = std::chrono::milliseconds(1);
+constexpr Duration CallTime = std::chrono::milliseconds(50);
+constexpr Duration Length = std::chrono::seconds(20);
+constexpr Duration Timeout = std::chrono::milliseconds(800);
+// Writes a second that the service takes; beyond it calls are refused.
+constexpr double WritesPerSecond = 400;
+
+enum class Way { PerRequest, AnyHost, PreferredHost };
+
+struct Row {
+  double writesPerRequest = 0;
+  double writesPerSecond = 0;
+  double bytesPerWrite = 0;
+  double conflictShare = 0;
+  double refusedShare = 0;
+  Duration median{0};
+  Duration p95{0};
+};
+
+class Run {
+public:
+  Run(Way way, std::size_t hosts, std::size_t shards, double rate,
+      Duration spacing)
+      : way_(way), hosts_(hosts), rate_(rate), keyValue_(&queue_, 1),
+        random_(7) {
+    for (std::size_t i = 0; i < hosts; ++i) {
+      Ledger::Options options;
+      options.host = fmt::format("entry-{}", i);
+      options.shards = way == Way::PerRequest ? 100003 : shards;
+      options.writeSpacing = spacing;
+      options.seed = i + 1;
+      options.retention = WallTime(60);
+      ledgers_.push_back(std::make_unique<Ledger>(options));
+    }
+    shards_ = shards;
+  }
+
+  Row measure() {
+    const auto count = static_cast<std::uint64_t>(
+        rate_ * static_cast<double>(Length.count()) / 1e6);
+    std::uniform_real_distribution<double> when(
+        0, static_cast<double>(Length.count()));
+    for (std::uint64_t i = 0; i < count; ++i)
+      queue_.after(Duration(static_cast<std::int64_t>(when(random_))),
+                   [this, i] { claim(i + 1); });
+    queue_.after(Duration(1000), [this] { tick(); });
+    queue_.runUntil(queue_.now() + Length + std::chrono::seconds(3));
+    return row(count);
+  }
+
+private:
+  std::size_t hostFor(const std::string &key, std::uint64_t number) const {
+    if (way_ == Way::PreferredHost)
+      return ledgerShard(key, shards_) % hosts_;
+    return number % hosts_;
+  }
+
+  Instant now() const {
+    return {queue_.now(), std::chrono::duration_cast<WallTime>(
+                              queue_.now().time_since_epoch())};
+  }
+
+  void claim(std::uint64_t number) {
+    const std::string key =
+        scopedKey("org", "booking", std::to_string(number));
+    const std::size_t host = hostFor(key, number);
+    sent_[number] = queue_.now();
+    const Duration hop = way_ == Way::PreferredHost ? Hop : Duration(0);
+    queue_.after(hop, [this, key, host, number] {
+      Step step;
+      step.now = now();
+      ledgers_[host]->claim({number, key, std::to_string(number), "digest",
+                             queue_.now() + std::chrono::milliseconds(500),
+                             false},
+                            &step);
+      perform(host, &step);
+    });
+  }
+
+  void perform(std::size_t host, Step *step) {
+    for (const Action &action : step->actions)
+      if (const auto *call = std::get_if<CallKeyValue>(&action))
+        send(host, *call);
+    for (const Event &event : step->followUps)
+      if (const auto *decided = std::get_if<ClaimDecided>(&event))
+        decide(host, *decided);
+  }
+
+  bool takeWrite() {
+    const auto micros = static_cast<double>((queue_.now() - filledAt_).count());
+    filledAt_ = queue_.now();
+    tokens_ = std::min(WritesPerSecond / 4,
+                       tokens_ + micros * WritesPerSecond / 1e6);
+    if (tokens_ < 1)
+      return false;
+    tokens_ -= 1;
+    return true;
+  }
+
+  void send(std::size_t host, const CallKeyValue &call) {
+    const auto answer = [this, host, id = call.call](const KvReply &reply) {
+      Step step;
+      step.now = now();
+      ledgers_[host]->onReply(id, reply, &step);
+      perform(host, &step);
+    };
+    if (call.operation.verb == KvVerb::PutIf && !takeWrite()) {
+      queue_.after(Duration(1000), [answer] { answer(KvReply()); });
+      return;
+    }
+    keyValue_.submit(call.operation, Timeout, answer);
+  }
+
+  void decide(std::size_t host, const ClaimDecided &decided) {
+    if (decided.verdict != ClaimVerdict::Granted) {
+      ++refused_;
+      return;
+    }
+    const Duration hop = way_ == Way::PreferredHost ? Hop : Duration(0);
+    waits_.push_back(queue_.now() + hop - sent_[decided.request]);
+    const std::uint64_t number = decided.request;
+    queue_.after(CallTime, [this, host, number] {
+      Step step;
+      step.now = now();
+      ledgers_[host]->record(
+          scopedKey("org", "booking", std::to_string(number)),
+          std::to_string(number), "digest", Outcome::Complete,
+          "booked for the ninth of May", &step);
+      perform(host, &step);
+    });
+  }
+
+  void tick() {
+    for (std::size_t i = 0; i < hosts_; ++i) {
+      if (ledgers_[i]->nextWake() > queue_.now())
+        continue;
+      Step step;
+      step.now = now();
+      ledgers_[i]->onTick(&step);
+      perform(i, &step);
+    }
+    queue_.after(Duration(1000), [this] { tick(); });
+  }
+
+  Row row(std::uint64_t count) {
+    Row row;
+    double conflicts = 0;
+    double writes = 0;
+    for (const auto &ledger : ledgers_) {
+      conflicts += static_cast<double>(ledger->counters().conflicts);
+      writes += static_cast<double>(ledger->counters().writes);
+    }
+    std::sort(waits_.begin(), waits_.end());
+    row.writesPerRequest = writes / static_cast<double>(count);
+    row.writesPerSecond =
+        writes / (static_cast<double>(Length.count()) / 1e6);
+    row.bytesPerWrite =
+        static_cast<double>(keyValue_.bytesWritten) / std::max(writes, 1.0);
+    row.conflictShare = conflicts / std::max(writes, 1.0);
+    row.refusedShare =
+        static_cast<double>(refused_) / static_cast<double>(count);
+    if (!waits_.empty()) {
+      row.median = waits_[waits_.size() / 2];
+      row.p95 = waits_[waits_.size() * 95 / 100];
+    }
+    return row;
+  }
+
+  Way way_;
+  std::size_t hosts_;
+  std::size_t shards_ = 1;
+  double rate_;
+  EventQueue queue_;
+  FakeKeyValue keyValue_;
+  std::mt19937_64 random_;
+  std::vector<std::unique_ptr<Ledger>> ledgers_;
+  std::map<std::uint64_t, TimePoint> sent_;
+  std::vector<Duration> waits_;
+  std::uint64_t refused_ = 0;
+  double tokens_ = WritesPerSecond / 4;
+  TimePoint filledAt_{std::chrono::hours(1)};
+};
+
+} // namespace
+
+int main() {
+  struct Case {
+    const char *name;
+    Way way;
+    std::size_t shards;
+    Duration spacing;
+  };
+  const Case cases[] = {
+      {"write per request", Way::PerRequest, 1, Duration(0)},
+      {"64 shards, any host", Way::AnyHost, 64, std::chrono::milliseconds(4)},
+      {"64 shards, preferred", Way::PreferredHost, 64,
+       std::chrono::milliseconds(4)},
+      {"16 shards, preferred, 100 ms", Way::PreferredHost, 16,
+       std::chrono::milliseconds(100)},
+  };
+  fmt::print("{:<30} {:>6} {:>9} {:>9} {:>9} {:>9} {:>8} {:>8} {:>8}\n", "way",
+             "req/s", "writes/r", "writes/s", "bytes/w", "conflict", "refused",
+             "p50 ms", "p95 ms");
+  for (const Case &one : cases) {
+    for (const double rate : {10.0, 40.0, 80.0, 160.0, 320.0, 640.0}) {
+      const Row row = Run(one.way, 9, one.shards, rate, one.spacing).measure();
+      fmt::print("{:<30} {:>6} {:>9.2f} {:>9.1f} {:>9.0f} {:>8.1f}% {:>7.1f}% "
+                 "{:>8.1f} {:>8.1f}\n",
+                 one.name, rate, row.writesPerRequest, row.writesPerSecond,
+                 row.bytesPerWrite, 100 * row.conflictShare,
+                 100 * row.refusedShare, toMillis(row.median),
+                 toMillis(row.p95));
+    }
+  }
+  return EXIT_SUCCESS;
+}
--- a/include/auburnspring/decision/ledger.h
+++ b/include/auburnspring/decision/ledger.h
@@ -4,6 +4,7 @@
 #include "auburnspring/decision/ledger_page.h"
 #include "auburnspring/decision/step.h"
 
+#include <absl/container/flat_hash_map.h>
 #include <nlohmann/json.hpp>
 
 #include <cstdint>
@@ -11,6 +12,7 @@
 #include <mutex>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -142,13 +144,18 @@
               const LedgerRecord *record, Step *step);
   void add(Operation operation, bool refresh, Step *step);
   static void withdraw(Operation *operation);
-  void sweep(Shard *shard);
+  void sweep(std::size_t index);
+  void settleReply(std::size_t index, const KvReply &reply, Step *step);
   void noteService(bool answered, TimePoint now);
 
   Options options_;
   mutable std::mutex mutex_;
   // All below are guarded by mutex_.
   std::vector<Shard> shards_;
+  /// Shards that have operations.
+  std::set<std::size_t> active_;
+  /// Shard of each call that is under way.
+  absl::flat_hash_map<std::uint64_t, std::size_t> calls_;
   std::size_t pending_ = 0;
   std::uint64_t nextCall_ = 1;
   std::mt19937_64 random_;
--- a/src/auburnspring/decision/ledger.cpp
+++ b/src/auburnspring/decision/ledger.cpp
@@ -63,13 +63,13 @@
 
 bool Ledger::abandon(RequestId request, Step *step) {
   const std::lock_guard<std::mutex> lock(mutex_);
-  for (std::size_t i = 0; i < shards_.size(); ++i) {
+  for (const std::size_t i : active_) {
     for (Operation &operation : shards_[i].operations) {
       if (operation.kind != OperationKind::Claim ||
           operation.request != request)
         continue;
       withdraw(&operation);
-      sweep(&shards_[i]);
+      sweep(i);
       pump(i, step);
       return true;
     }
@@ -87,12 +87,14 @@
   operation->kind = OperationKind::Release;
 }
 
-void Ledger::sweep(Shard *shard) {
-  auto &operations = shard->operations;
+void Ledger::sweep(std::size_t index) {
+  auto &operations = shards_[index].operations;
   const auto first = std::remove_if(operations.begin(), operations.end(),
                                     [](const Operation &o) { return o.done; });
   pending_ -= static_cast<std::size_t>(operations.end() - first);
   operations.erase(first, operations.end());
+  if (operations.empty())
+    active_.erase(index);
 }
 
 void Ledger::noteService(bool answered, TimePoint now) {
@@ -112,6 +114,7 @@
     shard.known = false;
   shard.operations.push_back(std::move(operation));
   ++pending_;
+  active_.insert(index);
   pump(index, step);
 }
 
@@ -126,7 +129,7 @@
   LedgerPage page = shard.page;
   page.prune(step->now.wall - options_.retention);
   const bool changed = applyAll(&shard, &page, step);
-  sweep(&shard);
+  sweep(index);
   if (!changed)
     return;
   std::string value = encodePage(page);
@@ -134,6 +137,7 @@
   shard.writingBytes = value.size();
   shard.callIsWrite = true;
   shard.call = nextCall_++;
+  calls_[*shard.call] = index;
   ++counters_.writes;
   step->act(CallKeyValue{
       {KvOwner::Ledger, *shard.call},
@@ -145,6 +149,7 @@
   Shard &shard = shards_[index];
   shard.callIsWrite = false;
   shard.call = nextCall_++;
+  calls_[*shard.call] = index;
   ++counters_.reads;
   step->act(CallKeyValue{{KvOwner::Ledger, *shard.call},
                          KvPriority::Claim,
@@ -318,35 +323,35 @@
 
 void Ledger::onReply(KvCallId call, const KvReply &reply, Step *step) {
   const std::lock_guard<std::mutex> lock(mutex_);
-  for (std::size_t i = 0; i < shards_.size(); ++i) {
-    Shard &shard = shards_[i];
-    if (shard.call != call.number)
-      continue;
-    shard.call.reset();
-    const bool write = shard.callIsWrite;
-    noteService(reply.status == KvStatus::Ok ||
-                    reply.status == KvStatus::Conflict,
-                step->now.steady);
-    if (reply.status == KvStatus::Ok && write) {
-      finishWrite(&shard, reply.revision, step);
-    } else if (reply.status == KvStatus::Ok) {
-      adopt(&shard, reply, step);
-    } else if (reply.status == KvStatus::Conflict) {
-      ++counters_.conflicts;
-      for (Operation &operation : shard.operations)
-        operation.inWrite = false;
-      adopt(&shard, reply, step);
-    } else {
-      if (write && reply.status == KvStatus::Unknown)
-        loseWrite(&shard);
-      for (Operation &operation : shard.operations)
-        operation.inWrite = false;
-      backOff(&shard, step->now.steady);
-    }
-    expireClaims(&shard, step);
-    sweep(&shard);
-    return pump(i, step);
-  }
+  const auto found = calls_.find(call.number);
+  if (found == calls_.end())
+    return;
+  const std::size_t index = found->second;
+  calls_.erase(found);
+  settleReply(index, reply, step);
+  expireClaims(&shards_[index], step);
+  sweep(index);
+  pump(index, step);
+}
+
+void Ledger::settleReply(std::size_t index, const KvReply &reply, Step *step) {
+  Shard &shard = shards_[index];
+  shard.call.reset();
+  const bool write = shard.callIsWrite;
+  const bool answered =
+      reply.status == KvStatus::Ok || reply.status == KvStatus::Conflict;
+  noteService(answered, step->now.steady);
+  if (reply.status == KvStatus::Ok && write)
+    return finishWrite(&shard, reply.revision, step);
+  if (write && reply.status == KvStatus::Unknown)
+    loseWrite(&shard);
+  for (Operation &operation : shard.operations)
+    operation.inWrite = false;
+  if (!answered)
+    return backOff(&shard, step->now.steady);
+  if (reply.status == KvStatus::Conflict)
+    ++counters_.conflicts;
+  adopt(&shard, reply, step);
 }
 
 void Ledger::expireClaims(Shard *shard, Step *step) {
@@ -361,22 +366,19 @@
 
 void Ledger::onTick(Step *step) {
   const std::lock_guard<std::mutex> lock(mutex_);
-  for (std::size_t i = 0; i < shards_.size(); ++i) {
-    Shard &shard = shards_[i];
-    if (shard.operations.empty())
-      continue;
-    expireClaims(&shard, step);
-    sweep(&shard);
-    pump(i, step);
+  const std::vector<std::size_t> active(active_.begin(), active_.end());
+  for (const std::size_t index : active) {
+    expireClaims(&shards_[index], step);
+    sweep(index);
+    pump(index, step);
   }
 }
 
 TimePoint Ledger::nextWake() const {
   const std::lock_guard<std::mutex> lock(mutex_);
   TimePoint next = TimePoint::max();
-  for (const Shard &shard : shards_) {
-    if (shard.operations.empty())
-      continue;
+  for (const std::size_t index : active_) {
+    const Shard &shard = shards_[index];
     if (!shard.call)
       next = std::min(next, shard.notBefore);
     for (const Operation &operation : shard.operations)
