Ledger: preferred hosts, a write budget and sealed pages

Change: operations go to the host that rendezvous hashing prefers for the shard; a budget of writes for all hosts together is handed out in turn, so that batches grow instead of the rate; outcomes wait 40 ms for a claim to share a write with; ended records move to pages under their own digest. A host that gets no receipt in 150 ms gives the forwarded claim up with a mark that refuses it should it land later, and claims anew under another nonce.

--- a/bench/ledger_load.cpp
+++ b/bench/ledger_load.cpp
@@ -38,19 +38,24 @@
 class Run {
 public:
   Run(Way way, std::size_t hosts, std::size_t shards, double rate,
-      Duration spacing)
-      : way_(way), hosts_(hosts), rate_(rate), keyValue_(&queue_, 1),
-        random_(7) {
+      double writes)
+      : hosts_(hosts), rate_(rate), keyValue_(&queue_, 1), random_(7) {
     for (std::size_t i = 0; i < hosts; ++i) {
       Ledger::Options options;
       options.host = fmt::format("entry-{}", i);
       options.shards = way == Way::PerRequest ? 100003 : shards;
-      options.writeSpacing = spacing;
       options.seed = i + 1;
-      options.retention = WallTime(60);
+      options.shard.retention = WallTime(60);
+      // Only the last way limits its own writes.
+      options.writesPerSecond = writes;
       ledgers_.push_back(std::make_unique<Ledger>(options));
     }
-    shards_ = shards;
+    std::vector<Ledger::Host> all;
+    for (std::size_t i = 0; i < hosts; ++i)
+      all.push_back({fmt::format("entry-{}", i), Endpoint()});
+    if (way == Way::PreferredHost)
+      for (const auto &ledger : ledgers_)
+        ledger->setHosts(all);
   }
 
   Row measure() {
@@ -67,38 +72,45 @@
   }
 
 private:
-  std::size_t hostFor(const std::string &key, std::uint64_t number) const {
-    if (way_ == Way::PreferredHost)
-      return ledgerShard(key, shards_) % hosts_;
-    return number % hosts_;
-  }
-
   Instant now() const {
     return {queue_.now(), std::chrono::duration_cast<WallTime>(
                               queue_.now().time_since_epoch())};
   }
 
   void claim(std::uint64_t number) {
-    const std::string key =
-        scopedKey("org", "booking", std::to_string(number));
-    const std::size_t host = hostFor(key, number);
+    const std::string key = scopedKey("org", "booking", std::to_string(number));
+    const std::size_t host = number % hosts_;
     sent_[number] = queue_.now();
-    const Duration hop = way_ == Way::PreferredHost ? Hop : Duration(0);
-    queue_.after(hop, [this, key, host, number] {
+    Step step;
+    step.now = now();
+    ledgers_[host]->claim({number, key, "digest",
+                           queue_.now() + std::chrono::milliseconds(500),
+                           false},
+                          &step);
+    perform(host, &step);
+  }
+
+  void pass(std::size_t from, const SendToPeer &send) {
+    const std::size_t to = std::stoul(send.host.substr(6));
+    queue_.after(Hop, [this, from, to, message = send.message] {
       Step step;
       step.now = now();
-      ledgers_[host]->claim({number, key, std::to_string(number), "digest",
-                             queue_.now() + std::chrono::milliseconds(500),
-                             false},
-                            &step);
-      perform(host, &step);
+      if (const auto *forward = std::get_if<LedgerForward>(&message))
+        ledgers_[to]->onForward(fmt::format("entry-{}", from), Endpoint(),
+                                *forward, &step);
+      if (const auto *done = std::get_if<LedgerForwarded>(&message))
+        ledgers_[to]->onForwarded(*done, &step);
+      perform(to, &step);
     });
   }
 
   void perform(std::size_t host, Step *step) {
-    for (const Action &action : step->actions)
+    for (const Action &action : step->actions) {
       if (const auto *call = std::get_if<CallKeyValue>(&action))
         send(host, *call);
+      if (const auto *message = std::get_if<SendToPeer>(&action))
+        pass(host, *message);
+    }
     for (const Event &event : step->followUps)
       if (const auto *decided = std::get_if<ClaimDecided>(&event))
         decide(host, *decided);
@@ -107,8 +119,8 @@
   bool takeWrite() {
     const auto micros = static_cast<double>((queue_.now() - filledAt_).count());
     filledAt_ = queue_.now();
-    tokens_ = std::min(WritesPerSecond / 4,
-                       tokens_ + micros * WritesPerSecond / 1e6);
+    tokens_ =
+        std::min(WritesPerSecond / 4, tokens_ + micros * WritesPerSecond / 1e6);
     if (tokens_ < 1)
       return false;
     tokens_ -= 1;
@@ -134,16 +146,14 @@
       ++refused_;
       return;
     }
-    const Duration hop = way_ == Way::PreferredHost ? Hop : Duration(0);
-    waits_.push_back(queue_.now() + hop - sent_[decided.request]);
+    waits_.push_back(queue_.now() - sent_[decided.request]);
     const std::uint64_t number = decided.request;
-    queue_.after(CallTime, [this, host, number] {
+    queue_.after(CallTime, [this, host, number, nonce = decided.nonce] {
       Step step;
       step.now = now();
       ledgers_[host]->record(
-          scopedKey("org", "booking", std::to_string(number)),
-          std::to_string(number), "digest", Outcome::Complete,
-          "booked for the ninth of May", &step);
+          scopedKey("org", "booking", std::to_string(number)), nonce, "digest",
+          Outcome::Complete, "booked for the ninth of May", &step);
       perform(host, &step);
     });
   }
@@ -170,8 +180,7 @@
     }
     std::sort(waits_.begin(), waits_.end());
     row.writesPerRequest = writes / static_cast<double>(count);
-    row.writesPerSecond =
-        writes / (static_cast<double>(Length.count()) / 1e6);
+    row.writesPerSecond = writes / (static_cast<double>(Length.count()) / 1e6);
     row.bytesPerWrite =
         static_cast<double>(keyValue_.bytesWritten) / std::max(writes, 1.0);
     row.conflictShare = conflicts / std::max(writes, 1.0);
@@ -184,9 +193,7 @@
     return row;
   }
 
-  Way way_;
   std::size_t hosts_;
-  std::size_t shards_ = 1;
   double rate_;
   EventQueue queue_;
   FakeKeyValue keyValue_;
@@ -206,22 +213,22 @@
     const char *name;
     Way way;
     std::size_t shards;
-    Duration spacing;
+    double writesPerHost;
   };
   const Case cases[] = {
-      {"write per request", Way::PerRequest, 1, Duration(0)},
-      {"64 shards, any host", Way::AnyHost, 64, std::chrono::milliseconds(4)},
-      {"64 shards, preferred", Way::PreferredHost, 64,
-       std::chrono::milliseconds(4)},
-      {"16 shards, preferred, 100 ms", Way::PreferredHost, 16,
-       std::chrono::milliseconds(100)},
+      {"write per request", Way::PerRequest, 1, 1e6},
+      {"64 shards, any host", Way::AnyHost, 64, 1e6},
+      {"64 shards, preferred", Way::PreferredHost, 64, 1e6},
+      {"64 shards, preferred, budget", Way::PreferredHost, 64, 150},
+      {"16 shards, preferred, budget", Way::PreferredHost, 16, 150},
   };
   fmt::print("{:<30} {:>6} {:>9} {:>9} {:>9} {:>9} {:>8} {:>8} {:>8}\n", "way",
              "req/s", "writes/r", "writes/s", "bytes/w", "conflict", "refused",
              "p50 ms", "p95 ms");
   for (const Case &one : cases) {
     for (const double rate : {10.0, 40.0, 80.0, 160.0, 320.0, 640.0}) {
-      const Row row = Run(one.way, 9, one.shards, rate, one.spacing).measure();
+      const Row row =
+          Run(one.way, 9, one.shards, rate, one.writesPerHost).measure();
       fmt::print("{:<30} {:>6} {:>9.2f} {:>9.1f} {:>9.0f} {:>8.1f}% {:>7.1f}% "
                  "{:>8.1f} {:>8.1f}\n",
                  one.name, rate, row.writesPerRequest, row.writesPerSecond,
--- a/include/auburnspring/config/settings.h
+++ b/include/auburnspring/config/settings.h
@@ -57,7 +57,9 @@
   std::int64_t maxKeptAnswerBytes = 8192;
   /// How long a finished key is remembered.
   Duration ledgerRetention = std::chrono::hours(1);
-  std::int64_t ledgerShards = 64;
+  std::int64_t ledgerShards = 16;
+  /// Ledger writes a second of all hosts together.
+  std::int64_t ledgerWritesPerSecond = 150;
   /// Key-value calls a second that this host may make.
   std::int64_t keyValueCallsPerSecond = 60;
   Duration headPollInterval = std::chrono::seconds(1);
--- a/include/auburnspring/decision/entry_host.h
+++ b/include/auburnspring/decision/entry_host.h
@@ -105,6 +105,7 @@
   void hearPeer(const std::string &from, const PeerMessage &message,
                 Step *step);
   void rebuild();
+  std::vector<Ledger::Host> ledgerHosts() const;
   void rebuildIfAccepted(Step *step);
   std::shared_ptr<const LiveRoute>
   liveRoute(const std::shared_ptr<const Route> &route);
--- a/include/auburnspring/decision/event.h
+++ b/include/auburnspring/decision/event.h
@@ -144,6 +144,8 @@
 struct ClaimDecided {
   RequestId request = 0;
   ClaimVerdict verdict = ClaimVerdict::Unavailable;
+  /// Granted only: the nonce that the claim stands under.
+  std::string nonce;
   /// Taken only: the recorded outcome, if the run has ended.
   std::optional<Outcome> outcome;
   std::string answer;
--- a/include/auburnspring/decision/key_value.h
+++ b/include/auburnspring/decision/key_value.h
@@ -9,13 +9,14 @@
 /// Calls are made in this order when the host's budget is short.
 enum class KvPriority { Lease, Claim, Configuration };
 
-enum class KvVerb { Get, PutIf };
+enum class KvVerb { Get, PutIf, Delete };
 
 /// One call to the key-value service.
 struct KvOperation {
   KvVerb verb = KvVerb::Get;
   std::string key;
-  /// PutIf only.
+  /// PutIf only. A Delete is unconditional and used only for keys that nothing
+  /// refers to any more.
   std::string value;
   /// PutIf writes only if the key is still at this revision; 0 is absent.
   std::int64_t expectedRevision = 0;
--- a/include/auburnspring/decision/ledger_page.h
+++ b/include/auburnspring/decision/ledger_page.h
@@ -11,12 +11,13 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace auburnspring {
 
 /// What the ledger knows of one key.
 struct LedgerRecord {
-  /// Chosen by the claimant for this one request; tells its claim from others.
+  /// Chosen for this one claim; tells it from every other.
   std::string nonce;
   /// Digest of the request's body.
   std::string bodyDigest;
@@ -30,12 +31,26 @@
   bool answerKept = false;
 };
 
-/// One shard of the ledger: one value of the key-value service.
+/// A page of ended records that will not change any more.
+struct SealedPage {
+  /// Digest of the page's text and part of its key.
+  std::string digest;
+  /// Time of its newest record.
+  WallTime newest{0};
+};
+
+/// The head of one shard of the ledger: one value of the key-value service.
+/// Ended records move to sealed pages, so that a write stays small.
 struct LedgerPage {
   absl::btree_map<std::string, LedgerRecord> records;
+  std::vector<SealedPage> sealed;
+  /// Nonces of claims that were given up while another host might still write
+  /// them, with the time of that.
+  absl::btree_map<std::string, WallTime> withdrawn;
 
-  /// Forgets records made before `oldest`.
-  void prune(WallTime oldest);
+  /// Forgets what is older than `oldest`; the sealed pages that fall away are
+  /// added to `dropped`.
+  void prune(WallTime oldest, std::vector<SealedPage> *dropped);
 };
 
 std::string encodePage(const LedgerPage &page);
@@ -44,6 +59,10 @@
 /// that is not a page is an error, never an empty page.
 absl::StatusOr<LedgerPage> decodePage(absl::string_view text);
 
+/// One record as a page holds it, for the way between hosts.
+std::string encodeRecord(const LedgerRecord &record);
+absl::StatusOr<LedgerRecord> decodeRecord(absl::string_view text);
+
 /// The key under which a caller's key stands in the ledger: scoped by
 /// organisation and route, and of one length for any caller's key.
 std::string scopedKey(absl::string_view organisation, absl::string_view route,
@@ -52,8 +71,10 @@
 /// Shard that a scoped key belongs to, of `shards` in all.
 std::size_t ledgerShard(absl::string_view scopedKey, std::size_t shards);
 
-/// Key of a shard's page in the key-value service.
+/// Keys in the key-value service of a shard's head and of a sealed page.
 std::string ledgerPageKey(absl::string_view prefix, std::size_t shard);
+std::string ledgerSealedKey(absl::string_view prefix, std::size_t shard,
+                            absl::string_view digest);
 
 } // namespace auburnspring
 
--- a/include/auburnspring/decision/peer_message.h
+++ b/include/auburnspring/decision/peer_message.h
@@ -63,7 +63,34 @@
   ConfigurationBundle bundle;
 };
 
-using PeerMessage = std::variant<Ping, Ack, BundleRequest, BundleReply>;
+/// Asks the receiver to write one operation into the ledger.
+struct LedgerForward {
+  /// Chosen by the sender; the answer carries it.
+  std::uint64_t number = 0;
+  /// Index of LedgerVerb.
+  std::uint8_t verb = 0;
+  std::string key;
+  /// From encodeRecord().
+  std::string record;
+  /// Time left until a claim is of no more use.
+  Duration timeLeft{0};
+  bool refresh = false;
+  bool leavesMark = false;
+};
+
+/// How a forwarded operation ended, or that it has been received.
+struct LedgerForwarded {
+  std::uint64_t number = 0;
+  /// The receiver has the operation; how it ended follows.
+  bool queued = false;
+  /// Index of ClaimVerdict.
+  std::uint8_t verdict = 0;
+  /// From encodeRecord() if the key is taken, else empty.
+  std::string present;
+};
+
+using PeerMessage = std::variant<Ping, Ack, BundleRequest, BundleReply,
+                                 LedgerForward, LedgerForwarded>;
 
 } // namespace auburnspring
 
--- a/include/auburnspring/decision/request_run.h
+++ b/include/auburnspring/decision/request_run.h
@@ -130,8 +130,6 @@
   /// The ledger holds a claim for this run that is not settled.
   bool claimed_ = false;
   bool claimPending_ = false;
-  /// Claims asked for so far.
-  int claims_ = 0;
   /// The ledger has shown that no earlier call with the key has run.
   bool keyIsFresh_ = false;
   /// Another host holds the key and may run or have run it.
--- a/include/auburnspring/model/world.h
+++ b/include/auburnspring/model/world.h
@@ -58,6 +58,8 @@
     Duration keyValueTimeout = std::chrono::milliseconds(800);
     Duration streamStall = std::chrono::milliseconds(1500);
     HostFactory makeHost = makeEntryHost;
+    /// Changes each host's options before it starts.
+    std::function<void(EntryHost::Options *options)> adjust;
   };
 
   explicit World(Options options);
--- a/include/auburnspring/platform/etcd_store.h
+++ b/include/auburnspring/platform/etcd_store.h
@@ -20,6 +20,7 @@
 private:
   KvReply get(const KvOperation &operation) const;
   KvReply putIf(const KvOperation &operation) const;
+  KvReply remove(const KvOperation &operation) const;
   absl::StatusOr<HttpAnswer> post(const std::string &path,
                                   std::string body) const;
 
--- a/src/auburnspring/config/settings_parser.cpp
+++ b/src/auburnspring/config/settings_parser.cpp
@@ -76,6 +76,8 @@
                  std::int64_t{86400000} * 30, Presence::Optional);
   reader->integer("ledger_shards", &settings->ledgerShards, 1, 65536,
                   Presence::Optional);
+  reader->integer("ledger_writes_per_second", &settings->ledgerWritesPerSecond,
+                  1, 10000, Presence::Optional);
   reader->integer("key_value_calls_per_second",
                   &settings->keyValueCallsPerSecond, 1, 2000,
                   Presence::Optional);
--- a/src/auburnspring/decision/entry_host.cpp
+++ b/src/auburnspring/decision/entry_host.cpp
@@ -280,6 +280,8 @@
 }
 
 void EntryHost::onEvent(const PeerSaid &event, Step *step) {
+  if (const auto *done = std::get_if<LedgerForwarded>(&event.message))
+    return ledger_.onForwarded(*done, step);
   const std::lock_guard<std::mutex> lock(control_);
   hearPeer(event.from, event.message, step);
 }
@@ -290,6 +292,11 @@
     return membership_.onPing(from, *ping, step);
   if (const auto *ack = std::get_if<Ack>(&message))
     return membership_.onAck(from, *ack, step);
+  if (const auto *forward = std::get_if<LedgerForward>(&message)) {
+    if (const MemberRumour *member = membership_.find(from))
+      ledger_.onForward(from, member->endpoint, *forward, step);
+    return;
+  }
   if (const auto *request = std::get_if<BundleRequest>(&message)) {
     if (const MemberRumour *member = membership_.find(from))
       configuration_.onRequest(from, member->endpoint, *request, step);
@@ -297,7 +304,7 @@
   }
   if (const auto *reply = std::get_if<BundleReply>(&message)) {
     configuration_.onBundle(reply->bundle, step);
-    rebuildIfAccepted(step);
+    return rebuildIfAccepted(step);
   }
 }
 
@@ -343,6 +350,15 @@
   membership_.setGeneration(configuration_.head().generation, step);
 }
 
+std::vector<Ledger::Host> EntryHost::ledgerHosts() const {
+  std::vector<Ledger::Host> hosts;
+  for (const std::string &name : membership_.aliveHosts()) {
+    const MemberRumour *member = membership_.find(name);
+    hosts.push_back({name, member == nullptr ? Endpoint() : member->endpoint});
+  }
+  return hosts;
+}
+
 // Publishes the next snapshot from the control side's state.
 void EntryHost::rebuild() {
   auto snapshot = std::make_unique<Snapshot>();
@@ -350,6 +366,7 @@
   for (const auto &[name, live] : liveRoutes_)
     snapshot->routes[name] = live;
   lastLiveHosts_ = membership_.aliveCount();
+  ledger_.setHosts(ledgerHosts());
   snapshot->liveHosts = lastLiveHosts_;
   snapshot->pools = directory_.pools(lastLiveHosts_);
   snapshot->stopping = stopping_;
--- a/src/auburnspring/decision/ledger.cpp
+++ b/src/auburnspring/decision/ledger.cpp
@@ -1,43 +1,92 @@
 #include "auburnspring/decision/ledger.h"
 
+#include "auburnspring/base/digest.h"
+
+#include <absl/strings/str_cat.h>
+
 #include <algorithm>
 
 namespace auburnspring {
 
-Ledger::Ledger(Options options)
-    : options_(std::move(options)), shards_(options_.shards),
-      random_(options_.seed) {}
+namespace {
+
+// What a host that is preferred for no shard may write when others are silent.
+constexpr double MinWritesPerSecond = 4;
+// The preferred host ends a claim at its time by itself; its word takes a way.
+constexpr Duration VerdictGrace = std::chrono::milliseconds(50);
+
+} // namespace
+
+Ledger::Ledger(Options options) : options_(std::move(options)) {
+  shared_.options = options_.shard;
+  shared_.random.seed(options_.seed);
+  for (std::size_t i = 0; i < options_.shards; ++i)
+    shards_.emplace_back(i, &shared_);
+  setHosts({{options_.host, Endpoint()}});
+}
+
+void Ledger::setHosts(std::vector<Host> hosts) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  hosts_ = std::move(hosts);
+  preferredHost_.assign(shards_.size(), 0);
+  for (std::size_t shard = 0; shard < shards_.size(); ++shard) {
+    std::uint64_t best = 0;
+    for (std::size_t i = 0; i < hosts_.size(); ++i) {
+      const std::uint64_t weight = stableHash(hosts_[i].name, shard);
+      if (weight < best)
+        continue;
+      best = weight;
+      preferredHost_[shard] = i;
+    }
+  }
+  const auto owned = static_cast<double>(std::count_if(
+      preferredHost_.begin(), preferredHost_.end(),
+      [this](std::size_t i) { return hosts_[i].name == options_.host; }));
+  const double share =
+      options_.writesPerSecond * owned / static_cast<double>(shards_.size());
+  shared_.budget.setRate(std::max(share, MinWritesPerSecond));
+}
 
-std::size_t Ledger::shardOf(const std::string &key) const {
-  return ledgerShard(key, shards_.size());
+std::string Ledger::newNonce() {
+  return absl::StrCat(options_.host, "/", absl::Hex(options_.incarnation), "/",
+                      ++nonces_);
 }
 
-std::string Ledger::shardKey(std::size_t index) const {
-  return ledgerPageKey(options_.keyPrefix, index);
+const Ledger::Host *Ledger::preferred(std::size_t shard, TimePoint now) const {
+  if (hosts_.empty())
+    return nullptr;
+  const Host &host = hosts_[preferredHost_[shard]];
+  if (host.name == options_.host)
+    return nullptr;
+  const auto silent = silentUntil_.find(host.name);
+  if (silent != silentUntil_.end() && now < silent->second)
+    return nullptr;
+  return &host;
 }
 
-void Ledger::claim(Claim claim, Step *step) {
+void Ledger::claim(const Claim &claim, Step *step) {
   const std::lock_guard<std::mutex> lock(mutex_);
-  Operation operation;
-  operation.kind = OperationKind::Claim;
-  operation.key = std::move(claim.key);
+  LedgerOperation operation;
+  operation.verb = LedgerVerb::Claim;
+  operation.key = claim.key;
   operation.request = claim.request;
   operation.answerBy = claim.answerBy;
-  operation.record.nonce = std::move(claim.nonce);
-  operation.record.bodyDigest = std::move(claim.bodyDigest);
+  operation.record.nonce = newNonce();
+  operation.record.bodyDigest = claim.bodyDigest;
   operation.record.claimant = options_.host;
   operation.record.time = step->now.wall;
-  if (pending_ >= options_.maxPending || step->now.steady < downUntil_)
+  if (pending_ + forwarded_.size() >= options_.maxPending ||
+      step->now.steady < downUntil_)
     return decide(operation, ClaimVerdict::Unavailable, nullptr, step);
-  add(std::move(operation), claim.refresh, step);
+  route(std::move(operation), claim.refresh, step);
 }
 
 void Ledger::record(const std::string &key, const std::string &nonce,
                     const std::string &bodyDigest, Outcome outcome,
                     const std::string &answer, Step *step) {
   const std::lock_guard<std::mutex> lock(mutex_);
-  Operation operation;
-  operation.kind = OperationKind::Record;
+  LedgerOperation operation;
+  operation.verb = LedgerVerb::Record;
   operation.key = key;
   operation.record.nonce = nonce;
   operation.record.bodyDigest = bodyDigest;
@@ -48,277 +97,211 @@
                                 answer.size() <= options_.maxKeptAnswerBytes;
   if (operation.record.answerKept)
     operation.record.answer = answer;
-  add(std::move(operation), false, step);
+  route(std::move(operation), false, step);
 }
 
 void Ledger::release(const std::string &key, const std::string &nonce,
                      Step *step) {
   const std::lock_guard<std::mutex> lock(mutex_);
-  Operation operation;
-  operation.kind = OperationKind::Release;
+  LedgerOperation operation;
+  operation.verb = LedgerVerb::Release;
   operation.key = key;
   operation.record.nonce = nonce;
-  add(std::move(operation), false, step);
+  operation.record.time = step->now.wall;
+  route(std::move(operation), false, step);
 }
 
 bool Ledger::abandon(RequestId request, Step *step) {
   const std::lock_guard<std::mutex> lock(mutex_);
-  for (const std::size_t i : active_) {
-    for (Operation &operation : shards_[i].operations) {
-      if (operation.kind != OperationKind::Claim ||
-          operation.request != request)
-        continue;
-      withdraw(&operation);
-      sweep(i);
-      pump(i, step);
-      return true;
-    }
+  for (auto it = forwarded_.begin(); it != forwarded_.end(); ++it) {
+    const LedgerOperation &claim = it->second.operation;
+    if (claim.verb != LedgerVerb::Claim || claim.request != request)
+      continue;
+    LedgerOperation release = claim;
+    release.verb = LedgerVerb::Release;
+    release.leavesMark = true;
+    forwarded_.erase(it);
+    addHere(std::move(release), false, step);
+    return true;
   }
-  return false;
-}
-
-// A claim that no write has carried is forgotten. One that a write carries or
-// may have carried turns into its own release.
-void Ledger::withdraw(Operation *operation) {
-  if (!operation->inWrite && !operation->lostAt) {
-    operation->done = true;
-    return;
+  for (const std::size_t index : active_) {
+    if (!shards_[index].withdraw(request))
+      continue;
+    settle(index, step);
+    return true;
   }
-  operation->kind = OperationKind::Release;
-}
-
-void Ledger::sweep(std::size_t index) {
-  auto &operations = shards_[index].operations;
-  const auto first = std::remove_if(operations.begin(), operations.end(),
-                                    [](const Operation &o) { return o.done; });
-  pending_ -= static_cast<std::size_t>(operations.end() - first);
-  operations.erase(first, operations.end());
-  if (operations.empty())
-    active_.erase(index);
+  return false;
 }
 
-void Ledger::noteService(bool answered, TimePoint now) {
-  if (answered) {
-    failuresInARow_ = 0;
-    downUntil_ = TimePoint();
-    return;
-  }
-  if (++failuresInARow_ >= options_.failuresUntilDown)
-    downUntil_ = now + options_.downInterval;
+void Ledger::route(LedgerOperation operation, bool refresh, Step *step) {
+  const TimePoint now = step->now.steady;
+  const Host *host = preferred(ledgerShard(operation.key, shards_.size()), now);
+  if (host == nullptr)
+    return addHere(std::move(operation), refresh, step);
+  LedgerForward message;
+  message.number = nextForward_++;
+  message.verb = static_cast<std::uint8_t>(operation.verb);
+  message.key = operation.key;
+  message.record = encodeRecord(operation.record);
+  if (operation.verb == LedgerVerb::Claim)
+    message.timeLeft = operation.answerBy - now;
+  message.refresh = refresh;
+  message.leavesMark = operation.leavesMark;
+  Forwarded forwarded;
+  forwarded.operation = std::move(operation);
+  forwarded.host = host->name;
+  forwarded.fallbackAt = now + options_.forwardTimeout;
+  forwarded.refresh = refresh;
+  forwarded_[message.number] = std::move(forwarded);
+  ++forwardCount_;
+  step->act(SendToPeer{host->name, host->endpoint, std::move(message)});
 }
 
-void Ledger::add(Operation operation, bool refresh, Step *step) {
-  const std::size_t index = shardOf(operation.key);
-  Shard &shard = shards_[index];
-  if (refresh && !shard.call)
-    shard.known = false;
-  shard.operations.push_back(std::move(operation));
+void Ledger::addHere(LedgerOperation operation, bool refresh, Step *step) {
+  const std::size_t index = ledgerShard(operation.key, shards_.size());
+  operation.since = step->now.steady;
+  shards_[index].add(std::move(operation), refresh);
   ++pending_;
   active_.insert(index);
   pump(index, step);
 }
 
-void Ledger::pump(std::size_t index, Step *step) {
-  Shard &shard = shards_[index];
-  if (shard.call || shard.operations.empty())
-    return;
-  if (step->now.steady < shard.notBefore)
-    return;
-  if (!shard.known)
-    return startRead(index, step);
-  LedgerPage page = shard.page;
-  page.prune(step->now.wall - options_.retention);
-  const bool changed = applyAll(&shard, &page, step);
-  sweep(index);
-  if (!changed)
-    return;
-  std::string value = encodePage(page);
-  shard.writing = std::move(page);
-  shard.writingBytes = value.size();
-  shard.callIsWrite = true;
-  shard.call = nextCall_++;
-  calls_[*shard.call] = index;
-  ++counters_.writes;
-  step->act(CallKeyValue{
-      {KvOwner::Ledger, *shard.call},
-      KvPriority::Claim,
-      {KvVerb::PutIf, shardKey(index), std::move(value), shard.revision}});
+// The time of a claim is up while the busy host still has it.
+void Ledger::giveUpWaiting(const Forwarded &forwarded, Step *step) {
+  decide(forwarded.operation, ClaimVerdict::Unavailable, nullptr, step);
+  LedgerOperation release = forwarded.operation;
+  release.verb = LedgerVerb::Release;
+  release.leavesMark = true;
+  route(std::move(release), false, step);
 }
 
-void Ledger::startRead(std::size_t index, Step *step) {
-  Shard &shard = shards_[index];
-  shard.callIsWrite = false;
-  shard.call = nextCall_++;
-  calls_[*shard.call] = index;
-  ++counters_.reads;
-  step->act(CallKeyValue{{KvOwner::Ledger, *shard.call},
-                         KvPriority::Claim,
-                         {KvVerb::Get, shardKey(index), "", 0}});
+// The silent host may have written the claim, or may write it yet. It is given
+// up with a mark that stays, and claimed anew under another nonce.
+void Ledger::fallBack(Forwarded forwarded, Step *step) {
+  ++forwardTimeouts_;
+  silentUntil_[forwarded.host] = step->now.steady + options_.avoidSilent;
+  if (forwarded.operation.verb == LedgerVerb::Claim) {
+    LedgerOperation release = forwarded.operation;
+    release.verb = LedgerVerb::Release;
+    release.leavesMark = true;
+    addHere(std::move(release), true, step);
+    forwarded.operation.record.nonce = newNonce();
+  }
+  addHere(std::move(forwarded.operation), forwarded.refresh, step);
 }
 
-bool Ledger::applyAll(Shard *shard, LedgerPage *page, Step *step) {
-  bool changed = false;
-  for (Operation &operation : shard->operations) {
-    operation.inWrite = apply(shard, page, &operation, step);
-    changed = changed || operation.inWrite;
-  }
-  return changed;
+void Ledger::onForward(const std::string &from, const Endpoint &endpoint,
+                       const LedgerForward &message, Step *step) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  absl::StatusOr<LedgerRecord> record = decodeRecord(message.record);
+  const bool known =
+      message.verb <= static_cast<std::uint8_t>(LedgerVerb::Release);
+  if (!record.ok() || !known || pending_ >= options_.maxPending)
+    return;
+  LedgerOperation operation;
+  operation.verb = static_cast<LedgerVerb>(message.verb);
+  operation.key = message.key;
+  operation.record = *std::move(record);
+  operation.answerBy = step->now.steady + message.timeLeft;
+  operation.leavesMark = message.leavesMark;
+  operation.origin = from;
+  operation.originNumber = message.number;
+  endpoints_[from] = endpoint;
+  LedgerForwarded receipt;
+  receipt.number = message.number;
+  receipt.queued = true;
+  step->act(SendToPeer{from, endpoint, std::move(receipt)});
+  addHere(std::move(operation), message.refresh, step);
 }
 
-bool Ledger::apply(Shard *shard, LedgerPage *page, Operation *operation,
-                   Step *step) {
-  switch (operation->kind) {
-  case OperationKind::Claim:
-    return applyClaim(shard, page, operation, step);
-  case OperationKind::Record:
-    return applyRecord(page, operation, step);
-  case OperationKind::Release:
-    return applyRelease(shard, page, operation);
+void Ledger::onForwarded(const LedgerForwarded &message, Step *step) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const auto found = forwarded_.find(message.number);
+  if (found == forwarded_.end())
+    return;
+  if (message.queued) {
+    found->second.fallbackAt = step->now.steady + options_.answerTimeout;
+    return;
   }
-  return false;
+  const LedgerOperation operation = std::move(found->second.operation);
+  forwarded_.erase(found);
+  if (operation.verb != LedgerVerb::Claim)
+    return;
+  const auto verdict = static_cast<ClaimVerdict>(message.verdict);
+  if (message.present.empty())
+    return decide(operation, verdict, nullptr, step);
+  const absl::StatusOr<LedgerRecord> present = decodeRecord(message.present);
+  if (!present.ok())
+    return decide(operation, ClaimVerdict::Unavailable, nullptr, step);
+  decide(operation, verdict, &*present, step);
 }
 
-bool Ledger::applyClaim(Shard *shard, LedgerPage *page, Operation *operation,
-                        Step *step) {
-  const auto found = page->records.find(operation->key);
-  if (found == page->records.end()) {
-    if (shard->pageBytes < options_.maxPageBytes) {
-      page->records[operation->key] = operation->record;
-      return true;
-    }
-    operation->done = true;
-    decide(*operation, ClaimVerdict::Unavailable, nullptr, step);
-    return false;
+void Ledger::pump(std::size_t index, Step *step) {
+  LedgerShard &shard = shards_[index];
+  if (std::optional<KvOperation> operation = shard.next(step->now)) {
+    const std::uint64_t number = nextCall_++;
+    calls_[number] = index;
+    step->act(CallKeyValue{
+        {KvOwner::Ledger, number}, KvPriority::Claim, *std::move(operation)});
   }
-  const LedgerRecord &present = found->second;
-  // A claim of this very batch is not in force before the write succeeds, so
-  // the second claimant waits for it.
-  const auto stored = shard->page.records.find(operation->key);
-  if (stored == shard->page.records.end())
-    return false;
-  operation->done = true;
-  if (present.nonce == operation->record.nonce)
-    decide(*operation, ClaimVerdict::Granted, nullptr, step);
-  else if (present.bodyDigest != operation->record.bodyDigest)
-    decide(*operation, ClaimVerdict::Mismatch, &present, step);
-  else
-    decide(*operation, ClaimVerdict::Taken, &present, step);
-  return false;
+  settle(index, step);
 }
 
-bool Ledger::applyRecord(LedgerPage *page, Operation *operation, Step *step) {
-  const auto found = page->records.find(operation->key);
-  const bool foreign = found != page->records.end() &&
-                       found->second.nonce != operation->record.nonce;
-  const bool same = found != page->records.end() && !foreign &&
-                    found->second.outcome == operation->record.outcome;
-  if (foreign)
-    step->act(WriteNote{
-        NoteLevel::Warning,
-        "ledger_record_foreign",
-        {{"key", operation->key}, {"claimant", found->second.claimant}}});
-  if (foreign || same) {
-    operation->done = true;
-    return false;
+// Hands on what has ended, and forgets the shard if nothing is left to do.
+void Ledger::settle(std::size_t index, Step *step) {
+  LedgerShard &shard = shards_[index];
+  for (const LedgerVerdict &verdict : shard.takeVerdicts())
+    report(verdict, step);
+  if (shard.isIdle()) {
+    shard.leaveQueue();
+    active_.erase(index);
   }
-  page->records[operation->key] = operation->record;
-  return true;
+  pending_ = 0;
+  for (const std::size_t active : active_)
+    pending_ += shards_[active].pending();
 }
 
-bool Ledger::applyRelease(Shard *shard, LedgerPage *page,
-                          Operation *operation) {
-  const auto found = page->records.find(operation->key);
-  const bool ours = found != page->records.end() &&
-                    found->second.nonce == operation->record.nonce;
-  if (ours && !found->second.outcome) {
-    page->records.erase(found);
-    return true;
+void Ledger::report(const LedgerVerdict &verdict, Step *step) {
+  const LedgerOperation &operation = verdict.operation;
+  const LedgerRecord *present = verdict.present ? &*verdict.present : nullptr;
+  if (!operation.origin.empty()) {
+    LedgerForwarded answer;
+    answer.number = operation.originNumber;
+    answer.verdict = static_cast<std::uint8_t>(verdict.verdict);
+    if (present != nullptr)
+      answer.present = encodeRecord(*present);
+    return step->act(SendToPeer{operation.origin, endpoints_[operation.origin],
+                                std::move(answer)});
   }
-  // A lost write can land as long as the shard is at the revision it expects.
-  // Any write moves the shard on and so rules it out.
-  if (operation->lostAt && *operation->lostAt == shard->revision)
-    return true;
-  operation->done = true;
-  return false;
+  if (operation.verb == LedgerVerb::Claim)
+    decide(operation, verdict.verdict, present, step);
 }
 
-void Ledger::decide(const Operation &operation, ClaimVerdict verdict,
-                    const LedgerRecord *record, Step *step) {
+void Ledger::decide(const LedgerOperation &operation, ClaimVerdict verdict,
+                    const LedgerRecord *present, Step *step) {
   ClaimDecided decided;
   decided.request = operation.request;
   decided.verdict = verdict;
-  if (record != nullptr) {
-    decided.outcome = record->outcome;
-    decided.claimant = record->claimant;
-    decided.answer = record->answer;
+  decided.nonce = operation.record.nonce;
+  if (present != nullptr) {
+    decided.outcome = present->outcome;
+    decided.claimant = present->claimant;
+    decided.answer = present->answer;
     // Complete without its answer can't be relayed whole.
-    if (record->outcome == Outcome::Complete && !record->answerKept)
+    if (present->outcome == Outcome::Complete && !present->answerKept)
       decided.outcome = Outcome::Unknown;
   }
   step->follow(std::move(decided));
 }
 
-void Ledger::finishWrite(Shard *shard, std::int64_t revision, Step *step) {
-  shard->page = std::move(shard->writing);
-  shard->pageBytes = shard->writingBytes;
-  shard->writing = {};
-  shard->revision = revision;
-  shard->known = true;
-  shard->backoff = Duration(0);
-  shard->notBefore = step->now.steady + options_.writeSpacing;
-  for (Operation &operation : shard->operations) {
-    if (!operation.inWrite)
-      continue;
-    operation.inWrite = false;
-    ++counters_.operationsWritten;
-    if (operation.kind == OperationKind::Release) {
-      // An abandoned claim has just landed; a release of a landed one is done.
-      operation.lostAt.reset();
-      const auto found = shard->page.records.find(operation.key);
-      operation.done = found == shard->page.records.end() ||
-                       found->second.nonce != operation.record.nonce;
-      continue;
-    }
-    operation.done = true;
-    if (operation.kind == OperationKind::Claim)
-      decide(operation, ClaimVerdict::Granted, nullptr, step);
-  }
-}
-
-void Ledger::loseWrite(Shard *shard) {
-  ++counters_.unknownWrites;
-  shard->known = false;
-  shard->writing = {};
-  for (Operation &operation : shard->operations) {
-    if (!operation.inWrite)
-      continue;
-    operation.inWrite = false;
-    operation.lostAt = shard->revision;
-  }
-}
-
-void Ledger::adopt(Shard *shard, const KvReply &reply, Step *step) {
-  const absl::StatusOr<LedgerPage> page =
-      decodePage(reply.revision == 0 ? "" : reply.value);
-  if (!page.ok()) {
-    shard->known = false;
-    step->act(WriteNote{NoteLevel::Warning,
-                        "ledger_page_unreadable",
-                        {{"error", std::string(page.status().message())}}});
-    return backOff(shard, step->now.steady);
+void Ledger::noteService(bool answered, TimePoint now) {
+  if (answered) {
+    failuresInARow_ = 0;
+    downUntil_ = TimePoint();
+    return;
   }
-  shard->page = *page;
-  shard->pageBytes = reply.value.size();
-  shard->revision = reply.revision;
-  shard->known = true;
-  shard->backoff = Duration(0);
-}
-
-void Ledger::backOff(Shard *shard, TimePoint now) {
-  shard->backoff = std::clamp(shard->backoff * 2, options_.firstBackoff,
-                              options_.maxBackoff);
-  std::uniform_int_distribution<std::int64_t> jitter(0, shard->backoff.count());
-  shard->notBefore = now + Duration(jitter(random_));
+  if (++failuresInARow_ >= options_.failuresUntilDown)
+    downUntil_ = now + options_.downInterval;
 }
 
 void Ledger::onReply(KvCallId call, const KvReply &reply, Step *step) {
@@ -328,48 +311,38 @@
     return;
   const std::size_t index = found->second;
   calls_.erase(found);
-  settleReply(index, reply, step);
-  expireClaims(&shards_[index], step);
-  sweep(index);
+  noteService(reply.status == KvStatus::Ok ||
+                  reply.status == KvStatus::Conflict,
+              step->now.steady);
+  shards_[index].onReply(reply, step->now);
+  shards_[index].expire(step->now.steady);
   pump(index, step);
 }
 
-void Ledger::settleReply(std::size_t index, const KvReply &reply, Step *step) {
-  Shard &shard = shards_[index];
-  shard.call.reset();
-  const bool write = shard.callIsWrite;
-  const bool answered =
-      reply.status == KvStatus::Ok || reply.status == KvStatus::Conflict;
-  noteService(answered, step->now.steady);
-  if (reply.status == KvStatus::Ok && write)
-    return finishWrite(&shard, reply.revision, step);
-  if (write && reply.status == KvStatus::Unknown)
-    loseWrite(&shard);
-  for (Operation &operation : shard.operations)
-    operation.inWrite = false;
-  if (!answered)
-    return backOff(&shard, step->now.steady);
-  if (reply.status == KvStatus::Conflict)
-    ++counters_.conflicts;
-  adopt(&shard, reply, step);
-}
-
-void Ledger::expireClaims(Shard *shard, Step *step) {
-  for (Operation &operation : shard->operations) {
-    if (operation.kind != OperationKind::Claim || operation.done ||
-        step->now.steady < operation.answerBy)
-      continue;
-    decide(operation, ClaimVerdict::Unavailable, nullptr, step);
-    withdraw(&operation);
-  }
-}
-
 void Ledger::onTick(Step *step) {
   const std::lock_guard<std::mutex> lock(mutex_);
+  const TimePoint now = step->now.steady;
+  std::vector<Forwarded> silent;
+  std::vector<Forwarded> late;
+  for (auto it = forwarded_.begin(); it != forwarded_.end();) {
+    Forwarded &forwarded = it->second;
+    const bool isLate = forwarded.operation.verb == LedgerVerb::Claim &&
+                        now >= forwarded.operation.answerBy + VerdictGrace;
+    const bool isSilent = now >= forwarded.fallbackAt;
+    if (!isLate && !isSilent) {
+      ++it;
+      continue;
+    }
+    (isLate ? late : silent).push_back(std::move(forwarded));
+    it = forwarded_.erase(it);
+  }
+  for (const Forwarded &forwarded : late)
+    giveUpWaiting(forwarded, step);
+  for (Forwarded &forwarded : silent)
+    fallBack(std::move(forwarded), step);
   const std::vector<std::size_t> active(active_.begin(), active_.end());
   for (const std::size_t index : active) {
-    expireClaims(&shards_[index], step);
-    sweep(index);
+    shards_[index].expire(step->now.steady);
     pump(index, step);
   }
 }
@@ -377,22 +350,29 @@
 TimePoint Ledger::nextWake() const {
   const std::lock_guard<std::mutex> lock(mutex_);
   TimePoint next = TimePoint::max();
-  for (const std::size_t index : active_) {
-    const Shard &shard = shards_[index];
-    if (!shard.call)
-      next = std::min(next, shard.notBefore);
-    for (const Operation &operation : shard.operations)
-      if (operation.kind == OperationKind::Claim)
-        next = std::min(next, operation.answerBy);
-  }
+  for (const auto &[number, forwarded] : forwarded_)
+    next = std::min(next, forwarded.fallbackAt);
+  for (const std::size_t index : active_)
+    next = std::min(next, shards_[index].nextWake());
   return next;
 }
 
 Ledger::Counters Ledger::counters() const {
   const std::lock_guard<std::mutex> lock(mutex_);
-  Counters counters = counters_;
-  counters.pending = pending_;
-  return counters;
+  Counters sum;
+  for (const LedgerShard &shard : shards_) {
+    const LedgerShard::Counters &one = shard.counters();
+    sum.reads += one.reads;
+    sum.writes += one.writes;
+    sum.conflicts += one.conflicts;
+    sum.unknownWrites += one.unknownWrites;
+    sum.operationsWritten += one.operationsWritten;
+    sum.sealedPages += one.sealedPages;
+  }
+  sum.forwarded = forwardCount_;
+  sum.forwardTimeouts = forwardTimeouts_;
+  sum.pending = pending_ + forwarded_.size();
+  return sum;
 }
 
 nlohmann::json Ledger::dump() const {
@@ -402,6 +382,9 @@
           {"conflicts", now.conflicts},
           {"unknown_writes", now.unknownWrites},
           {"operations_written", now.operationsWritten},
+          {"sealed_pages", now.sealedPages},
+          {"forwarded", now.forwarded},
+          {"forward_timeouts", now.forwardTimeouts},
           {"pending", now.pending}};
 }
 
--- a/src/auburnspring/decision/ledger_page.cpp
+++ b/src/auburnspring/decision/ledger_page.cpp
@@ -42,12 +42,18 @@
 
 } // namespace
 
-void LedgerPage::prune(WallTime oldest) {
-  for (auto it = records.begin(); it != records.end();) {
-    if (it->second.time < oldest)
-      it = records.erase(it);
-    else
+void LedgerPage::prune(WallTime oldest, std::vector<SealedPage> *dropped) {
+  for (auto it = records.begin(); it != records.end();)
+    it = it->second.time < oldest ? records.erase(it) : std::next(it);
+  for (auto it = withdrawn.begin(); it != withdrawn.end();)
+    it = it->second < oldest ? withdrawn.erase(it) : std::next(it);
+  for (auto it = sealed.begin(); it != sealed.end();) {
+    if (it->newest >= oldest) {
       ++it;
+      continue;
+    }
+    dropped->push_back(*it);
+    it = sealed.erase(it);
   }
 }
 
@@ -55,6 +61,10 @@
   nlohmann::json json = {{"format", 1}, {"records", nlohmann::json::object()}};
   for (const auto &[key, record] : page.records)
     json["records"][key] = toJson(record);
+  for (const SealedPage &sealed : page.sealed)
+    json["sealed"].push_back({sealed.digest, sealed.newest.count()});
+  for (const auto &[nonce, time] : page.withdrawn)
+    json["withdrawn"][nonce] = time.count();
   return json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
@@ -71,6 +81,14 @@
       return absl::UnimplementedError("the ledger page has another format");
     for (const auto &item : json.at("records").items())
       page.records[item.key()] = readRecord(item.value());
+    const nlohmann::json withdrawn =
+        json.value("withdrawn", nlohmann::json::object());
+    for (const auto &item : withdrawn.items())
+      page.withdrawn[item.key()] = WallTime(item.value().get<std::int64_t>());
+    for (const nlohmann::json &sealed :
+         json.value("sealed", nlohmann::json::array()))
+      page.sealed.push_back({sealed.at(0).get<std::string>(),
+                             WallTime(sealed.at(1).get<std::int64_t>())});
   } catch (const nlohmann::json::exception &error) {
     return absl::DataLossError(
         absl::StrCat("the ledger page is damaged: ", error.what()));
@@ -78,6 +96,24 @@
   return page;
 }
 
+std::string encodeRecord(const LedgerRecord &record) {
+  return toJson(record).dump(-1, ' ', false,
+                             nlohmann::json::error_handler_t::replace);
+}
+
+absl::StatusOr<LedgerRecord> decodeRecord(absl::string_view text) {
+  const nlohmann::json json =
+      nlohmann::json::parse(text.begin(), text.end(), nullptr, false);
+  if (json.is_discarded())
+    return absl::DataLossError("a ledger record is not valid JSON");
+  try {
+    return readRecord(json);
+  } catch (const nlohmann::json::exception &error) {
+    return absl::DataLossError(
+        absl::StrCat("a ledger record is damaged: ", error.what()));
+  }
+}
+
 std::string scopedKey(absl::string_view organisation, absl::string_view route,
                       absl::string_view key) {
   std::string joined;
@@ -94,4 +130,9 @@
   return absl::StrCat(prefix, "ledger/", shard);
 }
 
+std::string ledgerSealedKey(absl::string_view prefix, std::size_t shard,
+                            absl::string_view digest) {
+  return absl::StrCat(prefix, "ledger/", shard, "/", digest);
+}
+
 } // namespace auburnspring
--- a/src/auburnspring/decision/request_run.cpp
+++ b/src/auburnspring/decision/request_run.cpp
@@ -108,19 +108,14 @@
                              Step *step) {
   phase_ = Phase::Claiming;
   claimPending_ = true;
-  // Each claim has a nonce of its own: the release of one that was given up
-  // may still be under way and must not undo the next.
-  nonce_ = absl::StrCat(context.host, "/", absl::Hex(context.incarnation), "/",
-                        arrived_.request, "/", ++claims_);
   lookAgainAt_ = TimePoint::max();
   Claim claim;
   claim.request = arrived_.request;
   claim.key = scopedKey_;
-  claim.nonce = nonce_;
   claim.bodyDigest = bodyDigest_;
   claim.answerBy = std::min(deadline_, step->now.steady + ClaimTimeout);
   claim.refresh = refresh;
-  context.ledger.claim(std::move(claim), step);
+  context.ledger.claim(claim, step);
 }
 
 void RequestRun::lookAgainLater(Step *step) {
@@ -132,8 +127,10 @@
 void RequestRun::onClaim(const ClaimDecided &event, const RunContext &context,
                          Step *step) {
   claimPending_ = false;
-  if (event.verdict == ClaimVerdict::Granted)
+  if (event.verdict == ClaimVerdict::Granted) {
     claimed_ = true;
+    nonce_ = event.nonce;
+  }
   if (answered_)
     return settle(context, step);
   switch (event.verdict) {
--- a/src/auburnspring/model/at_most_once_test.cpp
+++ b/src/auburnspring/model/at_most_once_test.cpp
@@ -62,6 +62,12 @@
     World::Options options;
     options.seed = seed;
     options.makeHost = std::move(makeHost);
+    // Every other run seals pages after two or three records.
+    if (seed % 2 == 0)
+      options.adjust = [](EntryHost::Options *host) {
+        host->ledger.shards = 2;
+        host->ledger.shard.sealBytes = 500;
+      };
     return options;
   }
 
--- a/src/auburnspring/model/fake_key_value.cpp
+++ b/src/auburnspring/model/fake_key_value.cpp
@@ -28,6 +28,10 @@
 }
 
 KvReply FakeKeyValue::apply(const KvOperation &operation) {
+  if (operation.verb == KvVerb::Delete) {
+    values_.erase(operation.key);
+    return {KvStatus::Ok, "", ++revision_};
+  }
   const auto found = values_.find(operation.key);
   const std::int64_t present =
       found == values_.end() ? 0 : found->second.revision;
@@ -64,7 +68,7 @@
 
 void FakeKeyValue::submit(const KvOperation &operation, Duration timeout,
                           Answer answer) {
-  const bool write = operation.verb == KvVerb::PutIf;
+  const bool write = operation.verb != KvVerb::Get;
   ++(write ? writes : reads);
   const KvStatus lost = write ? KvStatus::Unknown : KvStatus::Unavailable;
   const auto giveUp = [answer, lost] { answer(failed(lost)); };
--- a/src/auburnspring/model/world.cpp
+++ b/src/auburnspring/model/world.cpp
@@ -67,6 +67,7 @@
   options.seed = options_.seed * 1000 + index * 10 + incarnation;
   options.maxRequests = 4096;
   options.ledger.host = options.host;
+  options.ledger.incarnation = incarnation;
   options.ledger.seed = options.seed + 1;
   options.membership.self.host = options.host;
   options.membership.self.dataCentre = options.dataCentre;
@@ -76,6 +77,8 @@
   for (std::size_t i = 0; i < options_.hosts; ++i)
     if (i != index)
       options.membership.seeds.push_back({hostName(i), Endpoint()});
+  if (options_.adjust)
+    options_.adjust(&options);
   return options;
 }
 
--- a/src/auburnspring/platform/etcd_store.cpp
+++ b/src/auburnspring/platform/etcd_store.cpp
@@ -69,7 +69,23 @@
     : endpoint_(std::move(endpoint)), timeout_(timeout) {}
 
 KvReply EtcdStore::call(const KvOperation &operation) {
-  return operation.verb == KvVerb::Get ? get(operation) : putIf(operation);
+  switch (operation.verb) {
+  case KvVerb::Get:
+    return get(operation);
+  case KvVerb::PutIf:
+    return putIf(operation);
+  case KvVerb::Delete:
+    return remove(operation);
+  }
+  return failed(KvStatus::Unavailable);
+}
+
+KvReply EtcdStore::remove(const KvOperation &operation) const {
+  const nlohmann::json request = {{"key", toBase64(operation.key)}};
+  const absl::StatusOr<HttpAnswer> answer =
+      post("/v3/kv/deleterange", request.dump());
+  const bool done = answer.ok() && answer->status == Ok;
+  return failed(done ? KvStatus::Ok : KvStatus::Unavailable);
 }
 
 absl::StatusOr<HttpAnswer> EtcdStore::post(const std::string &path,
--- a/src/auburnspring/shell/host_shell.cpp
+++ b/src/auburnspring/shell/host_shell.cpp
@@ -39,9 +39,12 @@
   options.seed = stableHash(settings.host, incarnation);
   options.maxRequests = static_cast<std::size_t>(settings.maxRequests);
   options.ledger.host = settings.host;
-  options.ledger.keyPrefix = settings.keyPrefix;
+  options.ledger.incarnation = incarnation;
+  options.ledger.shard.keyPrefix = settings.keyPrefix;
+  options.ledger.writesPerSecond =
+      static_cast<double>(settings.ledgerWritesPerSecond);
   options.ledger.shards = static_cast<std::size_t>(settings.ledgerShards);
-  options.ledger.retention =
+  options.ledger.shard.retention =
       std::chrono::duration_cast<WallTime>(settings.ledgerRetention);
   options.ledger.maxKeptAnswerBytes =
       static_cast<std::size_t>(settings.maxKeptAnswerBytes);
--- a/src/auburnspring/wire/peer_codec.cpp
+++ b/src/auburnspring/wire/peer_codec.cpp
@@ -95,6 +95,41 @@
           {"texts", reply.bundle.texts}};
 }
 
+nlohmann::json toJson(const LedgerForward &forward) {
+  return {{"n", forward.number},
+          {"verb", forward.verb},
+          {"key", forward.key},
+          {"record", forward.record},
+          {"left_us", forward.timeLeft.count()},
+          {"refresh", forward.refresh},
+          {"mark", forward.leavesMark}};
+}
+
+nlohmann::json toJson(const LedgerForwarded &forwarded) {
+  return {{"n", forwarded.number},
+          {"queued", forwarded.queued},
+          {"verdict", forwarded.verdict},
+          {"present", forwarded.present}};
+}
+
+LedgerForward readForward(const nlohmann::json &json) {
+  LedgerForward forward;
+  forward.number = json.at("n").get<std::uint64_t>();
+  forward.verb = json.at("verb").get<std::uint8_t>();
+  forward.key = json.at("key").get<std::string>();
+  forward.record = json.at("record").get<std::string>();
+  forward.timeLeft = Duration(json.at("left_us").get<std::int64_t>());
+  forward.refresh = json.at("refresh").get<bool>();
+  forward.leavesMark = json.at("mark").get<bool>();
+  return forward;
+}
+
+LedgerForwarded readForwarded(const nlohmann::json &json) {
+  return {json.at("n").get<std::uint64_t>(), json.at("queued").get<bool>(),
+          json.at("verdict").get<std::uint8_t>(),
+          json.at("present").get<std::string>()};
+}
+
 Ping readPing(const nlohmann::json &json) {
   return {json.at("seq").get<std::uint64_t>(),
           json.at("target").get<std::string>(), readGossip(json.at("gossip"))};
@@ -128,6 +163,10 @@
         BundleRequest{json.at("generation").get<std::uint64_t>()});
   case 3:
     return PeerMessage(readBundle(json));
+  case 4:
+    return PeerMessage(readForward(json));
+  case 5:
+    return PeerMessage(readForwarded(json));
   default:
     return absl::UnimplementedError(
         absl::StrCat("a peer message has the unknown kind ", kind));
--- a/stand_ins/key_value.cpp
+++ b/stand_ins/key_value.cpp
@@ -129,6 +129,8 @@
       return jsonReply(range(body));
     if (request.path == "/v3/kv/put")
       return putCall(body);
+    if (request.path == "/v3/kv/deleterange")
+      return remove(body);
     if (request.path == "/v3/kv/txn")
       return txn(body);
     if (request.path == "/v3/lease/grant")
@@ -200,6 +202,17 @@
     return jsonReply({{"header", header()}});
   }
 
+  Reply remove(const json &body) {
+    const auto found = values_.find(decode(body, "key"));
+    const bool present = found != values_.end();
+    if (present) {
+      ++revision_;
+      note({revision_, found->first, true, found->second});
+      values_.erase(found);
+    }
+    return jsonReply({{"header", header()}, {"deleted", present ? "1" : "0"}});
+  }
+
   bool holds(const json &compare) const {
     const auto found = values_.find(decode(compare, "key"));
     const bool absent = found == values_.end();
