--- a/include/auburnspring/decision/latency_book.h
+++ b/include/auburnspring/decision/latency_book.h
@@ -24,6 +24,10 @@
 
   std::uint32_t count() const;
 
+  /// How many times its unloaded duration a sample took. The unloaded duration
+  /// follows the shortest samples at once and longer ones slowly.
+  double stretch(Duration sample);
+
 private:
   static constexpr std::size_t Buckets = 128;
   static constexpr std::uint32_t HalveAt = 512;
@@ -34,6 +38,7 @@
   Duration prior_;
   std::array<std::atomic<std::uint32_t>, Buckets> buckets_{};
   std::atomic<std::uint32_t> total_{0};
+  std::atomic<std::int64_t> unloadedMicros_{0};
 };
 
 } // namespace auburnspring
--- a/include/auburnspring/decision/pool_gate.h
+++ b/include/auburnspring/decision/pool_gate.h
@@ -37,8 +37,9 @@
     double initialLimit = 8;
     double minLimit = 1;
     double maxLimit = 4096;
-    /// Latency beyond this multiple of the unloaded one shrinks the limit.
-    double latencyTolerance = 2.0;
+    /// Attempts that take more than this many times their unloaded duration
+    /// shrink the limit.
+    double stretchTolerance = 2.0;
   };
 
   explicit PoolGate(Options options);
@@ -58,8 +59,10 @@
   /// Removes what a finished request still has in the queue.
   void withdraw(RequestId request);
 
-  /// Learns from an attempt that ended well.
-  void learn(Duration latency, TimePoint now);
+  /// Learns from an attempt that ended well: how long it took, and how many
+  /// times its unloaded duration that is. A pool serves short and long work
+  /// side by side, so that only the second tells its load.
+  void learn(Duration latency, double stretch, TimePoint now);
 
   /// Learns that the pool is overloaded, from a refusal or a timeout.
   void learnOverload(TimePoint now);
@@ -72,7 +75,7 @@
     std::int64_t inUse;
     std::size_t queued;
     Duration smoothedLatency;
-    Duration baseLatency;
+    double stretch;
   };
   Reading read() const;
 
@@ -97,8 +100,7 @@
   absl::flat_hash_map<std::string, Turn> turns_;
   double lastPass_ = 0;
   Duration smoothed_{0};
-  Duration base_{0};
-  TimePoint baseSetAt_{};
+  double stretch_ = 1;
   TimePoint lastShrink_{};
 };
 
--- a/include/auburnspring/model/fake_upstream.h
+++ b/include/auburnspring/model/fake_upstream.h
@@ -94,7 +94,12 @@
     TimePoint at;
   };
   std::map<std::string, Execution> firstExecution;
-  Duration busy{0};
+  /// What each attempt took, whether or not it ended well.
+  struct Spent {
+    AttemptId attempt;
+    Duration busy;
+  };
+  std::vector<Spent> spent;
 
 private:
   struct Job {
--- a/include/auburnspring/model/world.h
+++ b/include/auburnspring/model/world.h
@@ -69,6 +69,7 @@
   void addUpstream(FakeUpstream::Options options);
   FakeUpstream &upstream(const std::string &name);
   std::vector<FakeUpstream *> pool(const std::string &name);
+  std::vector<FakeUpstream *> upstreams();
   HostUnderTest *host(std::size_t index) { return hosts_[index].host.get(); }
   std::size_t hostCount() const { return hosts_.size(); }
 
--- a/src/auburnspring/decision/latency_book.cpp
+++ b/src/auburnspring/decision/latency_book.cpp
@@ -64,6 +64,21 @@
   return upperEdge(Buckets - 1);
 }
 
+double LatencyBook::stretch(Duration sample) {
+  constexpr double TowardsShorter = 0.2;
+  constexpr double TowardsLonger = 0.005;
+  const auto micros = static_cast<double>(sample.count());
+  const auto known = static_cast<double>(unloadedMicros_.load());
+  if (known <= 0) {
+    unloadedMicros_ = sample.count();
+    return 1;
+  }
+  const double share = micros < known ? TowardsShorter : TowardsLonger;
+  unloadedMicros_ =
+      static_cast<std::int64_t>(known * (1 - share) + micros * share);
+  return micros / known;
+}
+
 std::uint32_t LatencyBook::count() const {
   return total_.load(std::memory_order_relaxed);
 }
--- a/src/auburnspring/decision/pool_gate.cpp
+++ b/src/auburnspring/decision/pool_gate.cpp
@@ -10,8 +10,6 @@
 constexpr double SmoothingShare = 0.1;
 constexpr double ShrinkFactor = 0.9;
 constexpr double GrowthPerRound = 1.0;
-// The unloaded latency is forgotten slowly, since a pool may change for good.
-constexpr double BaseDriftShare = 0.005;
 constexpr Duration MinShrinkInterval = std::chrono::milliseconds(100);
 constexpr std::size_t MaxTurns = 4096;
 
@@ -127,18 +125,13 @@
   limit_ = std::max(low, limit_ * ShrinkFactor);
 }
 
-void PoolGate::learn(Duration latency, TimePoint now) {
+void PoolGate::learn(Duration latency, double stretch, TimePoint now) {
   const std::lock_guard<std::mutex> lock(mutex_);
   smoothed_ = smoothed_.count() == 0
                   ? latency
                   : blend(smoothed_, latency, SmoothingShare);
-  if (base_.count() == 0 || latency < base_)
-    base_ = base_.count() == 0 ? latency : blend(base_, latency, 0.2);
-  else
-    base_ = blend(base_, latency, BaseDriftShare);
-  const double tolerated =
-      static_cast<double>(base_.count()) * options_.latencyTolerance;
-  if (static_cast<double>(smoothed_.count()) > tolerated)
+  stretch_ = stretch_ * (1 - SmoothingShare) + stretch * SmoothingShare;
+  if (stretch_ > options_.stretchTolerance)
     return shrink(now);
   // Grow only while the limit is what holds work back.
   if (static_cast<double>(inUse_) < limit_ - 1)
@@ -165,7 +158,7 @@
 
 PoolGate::Reading PoolGate::read() const {
   const std::lock_guard<std::mutex> lock(mutex_);
-  return {limit_, inUse_, queue_.size(), smoothed_, base_};
+  return {limit_, inUse_, queue_.size(), smoothed_, stretch_};
 }
 
 } // namespace auburnspring
--- a/src/auburnspring/decision/request_run.cpp
+++ b/src/auburnspring/decision/request_run.cpp
@@ -333,8 +333,9 @@
   const LiveAttempt attempt = end(live, step);
   const Duration took = step->now.steady - attempt.startedAt;
   noteSuccess(attempt.worker.get(), took);
-  attempt.pool->gate.learn(took, step->now.steady);
-  live_->stageTimes[attempt.id.stage]->add(took);
+  LatencyBook &book = *live_->stageTimes[attempt.id.stage];
+  attempt.pool->gate.learn(took, book.stretch(took), step->now.steady);
+  book.add(took);
   const bool useful = !answered_ && !attempt.cancelled &&
                       attempt.id.stage == stage_ &&
                       !parts_[attempt.id.part].done;
--- a/src/auburnspring/decision/upstream_directory.cpp
+++ b/src/auburnspring/decision/upstream_directory.cpp
@@ -157,7 +157,7 @@
                    {"in_use", gate.inUse},
                    {"queued", gate.queued},
                    {"latency_ms", toMillis(gate.smoothedLatency)},
-                   {"unloaded_latency_ms", toMillis(gate.baseLatency)},
+                   {"stretch", gate.stretch},
                    {"retry_budget_thousandths", state->budget.thousandths()}};
   }
   return {{"host_list_version", version_},
--- a/src/auburnspring/model/fake_upstream.cpp
+++ b/src/auburnspring/model/fake_upstream.cpp
@@ -223,7 +223,7 @@
   job->cancelled = true;
   running_.erase(std::find(running_.begin(), running_.end(), job));
   const Usage usage = usageOf(*job);
-  busy += usage.busy;
+  spent.push_back({job->attempt.attempt, usage.busy});
   execute(*job);
   AttemptSucceeded answer;
   answer.attempt = job->attempt.attempt;
@@ -247,7 +247,7 @@
   if (found != running_.end()) {
     usage = usageOf(*job);
     usage.generatedTokens = 0;
-    busy += usage.busy;
+    spent.push_back({job->attempt.attempt, usage.busy});
     running_.erase(found);
   }
   job->deliver(AttemptFailed{job->attempt.attempt, kind, detail, usage});
--- a/src/auburnspring/model/world.cpp
+++ b/src/auburnspring/model/world.cpp
@@ -50,6 +50,13 @@
   return *upstreams_.at(name);
 }
 
+std::vector<FakeUpstream *> World::upstreams() {
+  std::vector<FakeUpstream *> all;
+  for (const auto &[name, upstream] : upstreams_)
+    all.push_back(upstream.get());
+  return all;
+}
+
 std::vector<FakeUpstream *> World::pool(const std::string &name) {
   std::vector<FakeUpstream *> found;
   for (const auto &[key, upstream] : upstreams_)
