Admission: expected wait of every stage, at the organisation's share

Cause: only the first stage's queue counted at arrival, so that requests ran three stages and were given up before the busy fourth. Change: the waits of all stages' pools are summed, each as the organisation would meet it at its fair share.

--- a/include/auburnspring/decision/pool_gate.h
+++ b/include/auburnspring/decision/pool_gate.h
@@ -70,8 +70,9 @@
   /// Learns that the pool is overloaded, from a refusal or a timeout.
   void learnOverload(TimePoint now);
 
-  /// Expected wait of a new part behind the present queue.
-  Duration expectedWait() const;
+  /// Expected wait of a new part of an organisation: behind its own queue at
+  /// its share of the slots, or behind the whole queue if that is shorter.
+  Duration expectedWait(const std::string &organisation, double weight) const;
 
   struct Reading {
     double limit;
@@ -85,6 +86,7 @@
 private:
   struct Turn {
     double pass = 0;
+    double weight = 1;
     std::size_t queued = 0;
   };
 
--- a/include/auburnspring/decision/request_run.h
+++ b/include/auburnspring/decision/request_run.h
@@ -78,6 +78,7 @@
   Duration expectedFrom(std::size_t stage, double quantile) const;
   bool cannotFinish(TimePoint now, double quantile) const;
   double startQuantile() const;
+  Duration expectedWait(const RunContext &context) const;
   std::size_t liveOn(std::uint32_t part) const;
 
   void admit(const RunContext &context, Step *step);
--- a/src/auburnspring/decision/pool_gate.cpp
+++ b/src/auburnspring/decision/pool_gate.cpp
@@ -71,7 +71,9 @@
   if (queue_.size() >= options_.maxQueued)
     return GateAnswer::Full;
   queue_.push_back(request);
-  ++turns_[request.organisation].queued;
+  Turn &turn = turns_[request.organisation];
+  ++turn.queued;
+  turn.weight = request.weight;
   return GateAnswer::Queued;
 }
 
@@ -146,12 +148,24 @@
   shrink(now);
 }
 
-Duration PoolGate::expectedWait() const {
+Duration PoolGate::expectedWait(const std::string &organisation,
+                                double weight) const {
   const std::lock_guard<std::mutex> lock(mutex_);
   if (queue_.empty() && hasRoom())
     return Duration(0);
-  const double rounds = static_cast<double>(queue_.size() + 1) /
-                        std::max(limit_, options_.minLimit);
+  double ownQueued = 1;
+  double weights = weight;
+  for (const auto &[name, turn] : turns_) {
+    if (turn.queued == 0)
+      continue;
+    if (name == organisation)
+      ownQueued += static_cast<double>(turn.queued);
+    else
+      weights += turn.weight;
+  }
+  const double slots = std::max(limit_, options_.minLimit);
+  const double rounds = std::min(static_cast<double>(queue_.size() + 1) / slots,
+                                 ownQueued / (slots * weight / weights));
   return Duration(static_cast<std::int64_t>(
       rounds * static_cast<double>(smoothed_.count())));
 }
--- a/src/auburnspring/decision/request_run.cpp
+++ b/src/auburnspring/decision/request_run.cpp
@@ -94,12 +94,19 @@
   askForClaim(false, context, step);
 }
 
+Duration RequestRun::expectedWait(const RunContext &context) const {
+  Duration sum{0};
+  for (std::size_t i = stage_; i < route().stages.size(); ++i)
+    if (const auto found = pool(route().stages[i].pool, context))
+      sum += found->state->gate.expectedWait(arrived_.organisation,
+                                             arrived_.weight);
+  return sum;
+}
+
 // Refuses at once what can't finish in time.
 void RequestRun::admit(const RunContext &context, Step *step) {
-  const std::shared_ptr<const Pool> first =
-      pool(route().stages.front().pool, context);
-  const Duration wait = first ? first->state->gate.expectedWait() : Duration(0);
-  if (step->now.steady + wait + expectedFrom(0, 0.5) > deadline_)
+  if (step->now.steady + expectedWait(context) + expectedFrom(0, 0.5) >
+      deadline_)
     return giveUp("the stages can't finish within the deadline", context, step);
   beginStage(0, context, step);
 }
@@ -542,11 +549,7 @@
 }
 
 Duration RequestRun::comeBackAfter(const RunContext &context) const {
-  Duration wait = MinComeBack;
-  if (stagePool_)
-    wait = std::max(wait, stagePool_->gate.expectedWait());
-  else if (const auto first = pool(route().stages.front().pool, context))
-    wait = std::max(wait, first->state->gate.expectedWait());
+  const Duration wait = std::max(MinComeBack, expectedWait(context));
   std::uniform_real_distribution<double> jitter(0.8, 1.6);
   return Duration(static_cast<std::int64_t>(static_cast<double>(wait.count()) *
                                             jitter(context.random)));
