Engines get one priority: routes' priorities rank within an organisation

Cause: in the large organisation's burst small ones got 48 % in time, though the gate shared slots evenly: its routes' better priority let it overtake them in the engines' own queues. Ruled out: the gate's turns (charged by time). Change: attempts carry one priority; a route's priority orders an organisation's own requests at the gate.

--- a/src/auburnspring/decision/request_run.cpp
+++ b/src/auburnspring/decision/request_run.cpp
@@ -22,6 +22,10 @@
 constexpr Duration MinComeBack = std::chrono::milliseconds(200);
 constexpr Duration MinHedgeDelay = std::chrono::milliseconds(10);
 constexpr double GenerateHedgeWeight = 0.8;
+// Owners set their routes' priorities, so these rank requests of one
+// organisation only. An engine that followed them across organisations would
+// undo the sharing by weight.
+constexpr std::int64_t NeutralPriority = 5;
 // What even a quick run of the remaining stages can't finish is hopeless.
 constexpr double HopelessQuantile = 0.1;
 
@@ -302,7 +306,7 @@
   start.context = context_;
   start.part = attempt.id.part;
   start.parts = static_cast<std::uint32_t>(parts_.size());
-  start.priority = route().priority;
+  start.priority = NeutralPriority;
   start.maxTokens = stage().maxTokens;
   start.resumeText = parts_[attempt.id.part].kept;
   start.deadline = attempt.once ? deadline_ + OnceRunOn : deadline_;
