Gate and start: work waits at the host, generation starts only in time

Cause: at twice the capacity 20 to 28 % of upstream time was wasted, on generations begun too late and on work that queued at the engines.

--- a/include/auburnspring/decision/pool_gate.h
+++ b/include/auburnspring/decision/pool_gate.h
@@ -48,7 +48,9 @@
   explicit PoolGate(Options options);
 
   /// Sets what the pool can run side by side by its listed slots, this host's
-  /// share of it. The learned limit stays within a quarter and four times it.
+  /// share of it. The learned limit stays between a quarter of it and all of
+  /// it, so that work waits here, where it is ordered, and not at the
+  /// upstreams.
   void setCapacityHint(double slots);
 
   GateAnswer ask(const SlotRequest &request);
--- a/src/auburnspring/decision/pool_gate.cpp
+++ b/src/auburnspring/decision/pool_gate.cpp
@@ -32,7 +32,7 @@
   limit_ = scale > 0 ? limit_ * scale : slots;
   hint_ = slots;
   limit_ = std::clamp(limit_, std::max(options_.minLimit, hint_ / 4),
-                      std::min(options_.maxLimit, hint_ * 4 + 1));
+                      std::min(options_.maxLimit, hint_));
 }
 
 bool PoolGate::hasRoom() const {
@@ -138,8 +138,8 @@
   // Grow only while the limit is what holds work back.
   if (static_cast<double>(inUse_) < limit_ - 1)
     return;
-  const double high = hint_ > 0 ? std::min(options_.maxLimit, hint_ * 4 + 1)
-                                : options_.maxLimit;
+  const double high =
+      hint_ > 0 ? std::min(options_.maxLimit, hint_) : options_.maxLimit;
   limit_ = std::min(high, limit_ + GrowthPerRound / std::max(limit_, 1.0));
 }
 
--- a/src/auburnspring/decision/request_run.cpp
+++ b/src/auburnspring/decision/request_run.cpp
@@ -78,7 +78,11 @@
 
 // A call that can't be repeated must not be begun unless it will very likely
 // end in time: a late one leaves its caller in doubt and its slot wasted.
-double RequestRun::startQuantile() const { return isOnceStage() ? 0.95 : 0.4; }
+double RequestRun::startQuantile() const {
+  if (isOnceStage())
+    return 0.95;
+  return stage().kind == StageKind::Generate ? 0.85 : 0.4;
+}
 
 std::size_t RequestRun::liveOn(std::uint32_t part) const {
   return static_cast<std::size_t>(std::count_if(
