Slopes of the mesh and of decisions; idle organisations cost nothing

Cause: decisions_bench showed 41 us an admission at 16,000 organisations: every request scanned all turns once there were more than 4,096. Change: idle turns are forgotten only after their number has doubled.

--- /dev/null
+++ b/bench/decisions_bench.cpp
@@ -0,0 +1,138 @@
+// Nanoseconds of the decisions on a request's path, and their growth.
+#include "auburnspring/base/digest.h"
+#include "auburnspring/decision/entry_host.h"
+#include "auburnspring/decision/worker_choice.h"
+
+#include <benchmark/benchmark.h>
+#include <fmt/format.h>
+
+namespace {
+
+using namespace auburnspring;
+
+const TimePoint Now{std::chrono::hours(1)};
+
+std::vector<WorkerPtr> makeWorkers(std::size_t count) {
+  std::vector<WorkerPtr> workers;
+  for (std::size_t i = 0; i < count; ++i) {
+    ListedUpstream upstream;
+    upstream.name = fmt::format("engine-{}", i);
+    upstream.slots = 8;
+    upstream.models = {"writer"};
+    upstream.dataCentre = fmt::format("dc-{}", i % 8);
+    workers.push_back(std::make_shared<Worker>(upstream));
+    workers.back()->smoothedMicros = 20000;
+  }
+  return workers;
+}
+
+void chooseOfTwo(benchmark::State &state) {
+  const auto workers = makeWorkers(static_cast<std::size_t>(state.range(0)));
+  std::mt19937_64 random(1);
+  ChoiceRequest request;
+  request.model = "writer";
+  request.dataCentre = "dc-1";
+  for (auto _ : state)
+    benchmark::DoNotOptimize(chooseWorker(workers, request, Now, &random));
+}
+BENCHMARK(chooseOfTwo)->Arg(5)->Arg(60)->Arg(600);
+
+void chooseWithPrefix(benchmark::State &state) {
+  const auto workers = makeWorkers(static_cast<std::size_t>(state.range(0)));
+  std::mt19937_64 random(1);
+  const std::string prompt(400, 'p');
+  ChoiceRequest request;
+  request.model = "writer";
+  request.prompt = prompt;
+  request.dataCentre = "dc-1";
+  for (auto _ : state)
+    benchmark::DoNotOptimize(chooseWorker(workers, request, Now, &random));
+}
+BENCHMARK(chooseWithPrefix)->Arg(5)->Arg(60)->Arg(600);
+
+void admit(benchmark::State &state) {
+  PoolGate::Options options;
+  options.initialLimit = 64;
+  PoolGate gate(options);
+  const auto organisations = static_cast<std::size_t>(state.range(0));
+  std::vector<SlotRequest> requests(organisations);
+  for (std::size_t i = 0; i < organisations; ++i)
+    requests[i].organisation = fmt::format("organisation-{}", i);
+  std::vector<SlotRequest> granted;
+  std::size_t next = 0;
+  for (auto _ : state) {
+    gate.ask(requests[next]);
+    next = next + 1 == organisations ? 0 : next + 1;
+    granted.clear();
+    gate.release(&granted);
+  }
+}
+BENCHMARK(admit)->Arg(5)->Arg(300)->Arg(16000);
+
+void admitBehindQueue(benchmark::State &state) {
+  PoolGate::Options options;
+  options.initialLimit = 8;
+  PoolGate gate(options);
+  std::vector<SlotRequest> requests(static_cast<std::size_t>(state.range(0)) +
+                                    8);
+  for (std::size_t i = 0; i < requests.size(); ++i) {
+    requests[i].organisation = fmt::format("organisation-{}", i % 50);
+    gate.ask(requests[i]);
+  }
+  std::vector<SlotRequest> granted;
+  std::size_t next = 0;
+  for (auto _ : state) {
+    granted.clear();
+    gate.release(&granted);
+    gate.ask(requests[next]);
+    next = next + 1 == requests.size() ? 0 : next + 1;
+    benchmark::DoNotOptimize(gate.expectedWait(requests[next].organisation, 1));
+  }
+}
+BENCHMARK(admitBehindQueue)->Arg(1)->Arg(30)->Arg(240);
+
+// A whole request of one stage through the host: arrival, dispatch, answer.
+void wholeRequest(benchmark::State &state) {
+  EntryHost::Options options;
+  options.host = "entry-1";
+  EntryHost host(options);
+  Instant now{Now, WallTime(1000)};
+  ConfigurationBundle bundle;
+  const std::string text =
+      R"({"name":"r","owner":"o","deadline_ms":2000,"repeat":"always",)"
+      R"("stages":[{"kind":"encode","pool":"p","expected_ms":5}]})";
+  bundle.head.generation = 1;
+  bundle.head.pieces["r"] = digestHex(text);
+  bundle.texts[digestHex(text)] = text;
+  host.handle(PeerSaid{"entry-2", BundleReply{bundle}}, now);
+  HostList list;
+  list.version = 1;
+  for (std::int64_t i = 0; i < state.range(0); ++i) {
+    ListedUpstream upstream;
+    upstream.name = fmt::format("p-{}", i);
+    upstream.pool = "p";
+    upstream.slots = 8;
+    list.upstreams.push_back(upstream);
+  }
+  host.handle(HostListRead{list}, now);
+  RequestId request = 0;
+  for (auto _ : state) {
+    now.steady += Duration(100);
+    RequestArrived arrived;
+    arrived.request = ++request;
+    arrived.organisation = "o";
+    arrived.route = "r";
+    arrived.body = "body";
+    Actions actions = host.handle(arrived, now);
+    const auto &start = std::get<StartAttempt>(actions.front());
+    now.steady += Duration(5000);
+    actions =
+        host.handle(AttemptSucceeded{start.attempt, "text", Usage()}, now);
+    benchmark::DoNotOptimize(actions);
+  }
+}
+BENCHMARK(wholeRequest)->Arg(5)->Arg(60)->Arg(600);
+
+} // namespace
+
+BENCHMARK_MAIN();
--- /dev/null
+++ b/bench/mesh_slope.cpp
@@ -0,0 +1,142 @@
+// What the mesh of entry hosts costs each of them, at rising size: messages,
+// bytes, processor time and memory without load; time until a death is known
+// everywhere; time until a publish is in force everywhere and the key-value
+// calls it takes. One line a size.
+#include "auburnspring/model/world.h"
+#include "auburnspring/wire/peer_codec.h"
+
+#include <fmt/format.h>
+#include <sys/resource.h>
+
+#include <cstdlib>
+#include <ctime>
+
+namespace {
+
+using namespace auburnspring;
+
+constexpr Duration Warm = std::chrono::seconds(40);
+constexpr Duration Quiet = std::chrono::seconds(20);
+constexpr Duration Grain = std::chrono::milliseconds(50);
+constexpr Duration Patience = std::chrono::seconds(60);
+constexpr const char *PeerKey = "a peer key of the usual length";
+// Bytes of a websocket frame and of the TCP and IP headers of one message.
+constexpr std::size_t FrameBytes = 14 + 40;
+
+constexpr const char *RouteText =
+    R"({"name":"%","owner":"o","deadline_ms":2000,"repeat":"always",)"
+    R"("stages":[{"kind":"encode","pool":"p"}]})";
+
+std::string routeText(const std::string &name) {
+  std::string text = RouteText;
+  return text.replace(text.find('%'), 1, name);
+}
+
+double processorSeconds() {
+  return static_cast<double>(std::clock()) / CLOCKS_PER_SEC;
+}
+
+double residentMegabytes() {
+  rusage usage{};
+  getrusage(RUSAGE_SELF, &usage);
+  return static_cast<double>(usage.ru_maxrss) / 1024;
+}
+
+struct Traffic {
+  std::uint64_t messages = 0;
+  std::uint64_t bytes = 0;
+};
+
+std::size_t aliveOn(World *world, std::size_t host) {
+  const nlohmann::json dump = world->host(host)->dump({world->now(), {}});
+  std::size_t alive = 0;
+  for (const nlohmann::json &member : dump.at("members"))
+    alive += member.at("state") == "alive" || member.at("state") == "suspect";
+  return alive;
+}
+
+std::uint64_t generationOn(World *world, std::size_t host) {
+  const nlohmann::json dump = world->host(host)->dump({world->now(), {}});
+  return dump.at("configuration").at("generation").get<std::uint64_t>();
+}
+
+// Runs until `good` holds for every host that is up; the time it took.
+template <typename Good> double secondsUntil(World *world, Good good) {
+  const TimePoint began = world->now();
+  while (world->now() - began < Patience) {
+    bool all = true;
+    for (std::size_t i = 0; all && i < world->hostCount(); ++i)
+      all = world->host(i) == nullptr || good(i);
+    if (all)
+      break;
+    world->runFor(Grain);
+  }
+  return toMillis(world->now() - began) / 1000;
+}
+
+void measure(std::size_t hosts) {
+  const double memoryBefore = residentMegabytes();
+  Traffic traffic;
+  World::Options options;
+  options.seed = 99;
+  options.hosts = hosts;
+  options.dataCentres = 8;
+  options.observePeer = [&traffic](std::size_t /*from*/,
+                                   const SendToPeer &send) {
+    ++traffic.messages;
+    PeerEnvelope envelope{"entry-100", send.host, 1700000000000000, 100000,
+                          send.message};
+    traffic.bytes += encodeEnvelope(envelope, PeerKey).size() + FrameBytes;
+  };
+  World world(options);
+  world.start();
+  world.publish({{"one", routeText("one")}});
+  world.runFor(Warm);
+  const double memory =
+      (residentMegabytes() - memoryBefore) / static_cast<double>(hosts);
+
+  traffic = Traffic();
+  const std::uint64_t readsBefore = world.keyValue().reads;
+  const double cpuBefore = processorSeconds();
+  world.runFor(Quiet);
+  const double perHostSecond =
+      static_cast<double>(hosts) * toMillis(Quiet) / 1000;
+  const double cpu = (processorSeconds() - cpuBefore) / perHostSecond;
+  const double messages = static_cast<double>(traffic.messages) / perHostSecond;
+  const double bytes = static_cast<double>(traffic.bytes) / perHostSecond;
+  const double reads =
+      static_cast<double>(world.keyValue().reads - readsBefore) /
+      (toMillis(Quiet) / 1000);
+
+  const std::uint64_t callsBefore = world.keyValue().reads;
+  const std::uint64_t generation = world.publish({{"two", routeText("two")}});
+  const double inForce = secondsUntil(&world, [&](std::size_t host) {
+    return generationOn(&world, host) >= generation;
+  });
+  const auto calls = static_cast<double>(world.keyValue().reads - callsBefore);
+
+  world.kill(hosts - 1);
+  const double death = secondsUntil(&world, [&](std::size_t host) {
+    return aliveOn(&world, host) == hosts - 1;
+  });
+  fmt::print("{:>6} {:>9.2f} {:>9.2f} {:>9.3f} {:>9.2f} {:>9.1f} {:>10.2f} "
+             "{:>8.0f} {:>9.2f}\n",
+             hosts, messages, bytes / 1000, 100 * cpu, memory, reads, inForce,
+             calls, death);
+}
+
+} // namespace
+
+int main(int argc, char **argv) {
+  fmt::print("{:>6} {:>9} {:>9} {:>9} {:>9} {:>9} {:>10} {:>8} {:>9}\n",
+             "hosts", "msgs/s", "kB/s", "cpu %", "MB", "kv r/s", "in force s",
+             "kv reads", "death s");
+  if (argc > 1) {
+    for (int i = 1; i < argc; ++i)
+      measure(std::strtoul(argv[i], nullptr, 10));
+    return EXIT_SUCCESS;
+  }
+  for (const std::size_t hosts : {3, 9, 48, 96, 190, 380})
+    measure(hosts);
+  return EXIT_SUCCESS;
+}
--- a/include/auburnspring/decision/pool_gate.h
+++ b/include/auburnspring/decision/pool_gate.h
@@ -86,6 +86,8 @@
   Reading read() const;
 
 private:
+  static constexpr std::size_t FirstForgetAt = 1024;
+
   struct Turn {
     double pass = 0;
     double weight = 1;
@@ -105,6 +107,8 @@
   std::int64_t inUse_ = 0;
   std::vector<SlotRequest> queue_;
   absl::flat_hash_map<std::string, Turn> turns_;
+  /// Idle organisations are forgotten when there are more turns than this.
+  std::size_t forgetAt_ = FirstForgetAt;
   double lastPass_ = 0;
   Duration smoothed_{0};
   double stretch_ = 1;
--- a/include/auburnspring/model/fake_key_value.h
+++ b/include/auburnspring/model/fake_key_value.h
@@ -39,7 +39,8 @@
 
   /// Makes the call and answers on the virtual clock. `timeout` is when the
   /// caller's shell gives the call up.
-  void submit(const KvOperation &operation, Duration timeout, Answer answer);
+  void submit(const KvOperation &operation, Duration timeout,
+              const Answer &answer);
 
   /// Makes the call at once and without a fault, for operators.
   KvReply call(const KvOperation &operation) override;
--- a/include/auburnspring/model/world.h
+++ b/include/auburnspring/model/world.h
@@ -60,6 +60,8 @@
     HostFactory makeHost = makeEntryHost;
     /// Changes each host's options before it starts.
     std::function<void(EntryHost::Options *options)> adjust;
+    /// Sees every message that a host sends to a peer.
+    std::function<void(std::size_t from, const SendToPeer &send)> observePeer;
   };
 
   explicit World(Options options);
@@ -135,13 +137,13 @@
   void deliver(std::size_t host, std::uint64_t incarnation, Event event);
   void handle(std::size_t host, Event event);
   void arm(std::size_t host);
-  void perform(std::size_t host, Action action);
+  void perform(std::size_t host, Action &action);
   void startAttempt(std::size_t host, StartAttempt action);
   void watchStream(std::size_t host, std::uint64_t incarnation,
                    const AttemptId &id);
   void endAttempt(std::size_t host, std::uint64_t incarnation,
                   const AttemptId &id, const char *detail);
-  void hear(std::size_t host, std::uint64_t incarnation, Event event);
+  void hear(std::size_t host, std::uint64_t incarnation, const Event &event);
   void cancelAttempt(std::size_t host, const CancelAttempt &action);
   void answerCaller(std::size_t host, const AnswerCaller &action);
   void callKeyValue(std::size_t host, const CallKeyValue &action);
--- a/include/auburnspring/scenario/scenario_runner.h
+++ b/include/auburnspring/scenario/scenario_runner.h
@@ -44,7 +44,7 @@
     const char *name;
     Verb verb;
   };
-  static const VerbEntry Verbs[];
+  static const VerbEntry verbs[];
 
   void act(const ScenarioStep &step);
   bool call(const Words &words);
--- a/src/auburnspring/decision/pool_gate.cpp
+++ b/src/auburnspring/decision/pool_gate.cpp
@@ -11,7 +11,6 @@
 constexpr double ShrinkFactor = 0.9;
 constexpr double GrowthPerRound = 1.0;
 constexpr Duration MinShrinkInterval = std::chrono::milliseconds(100);
-constexpr std::size_t MaxTurns = 4096;
 
 Duration blend(Duration old, Duration sample, double share) {
   const double mixed = static_cast<double>(old.count()) * (1 - share) +
@@ -47,11 +46,14 @@
   turn.pass = std::max(turn.pass, lastPass_);
   lastPass_ = turn.pass;
   turn.pass += static_cast<double>(request.cost.count()) / request.weight;
-  if (turns_.size() <= MaxTurns)
+  if (turns_.size() <= forgetAt_)
     return;
   absl::erase_if(turns_, [this](const auto &entry) {
     return entry.second.queued == 0 && entry.second.pass <= lastPass_;
   });
+  // Looking again only after as many more have come keeps the price of a
+  // request independent of the number of organisations.
+  forgetAt_ = std::max(FirstForgetAt, turns_.size() * 2);
 }
 
 bool PoolGate::tryTake(const SlotRequest &request) {
--- a/src/auburnspring/model/fake_key_value.cpp
+++ b/src/auburnspring/model/fake_key_value.cpp
@@ -67,7 +67,7 @@
 }
 
 void FakeKeyValue::submit(const KvOperation &operation, Duration timeout,
-                          Answer answer) {
+                          const Answer &answer) {
   const bool write = operation.verb != KvVerb::Get;
   ++(write ? writes : reads);
   const KvStatus lost = write ? KvStatus::Unknown : KvStatus::Unavailable;
--- a/src/auburnspring/model/world.cpp
+++ b/src/auburnspring/model/world.cpp
@@ -158,7 +158,7 @@
 void World::handle(std::size_t index, Event event) {
   Actions actions = hosts_[index].host->handle(std::move(event), instant());
   for (Action &action : actions)
-    perform(index, std::move(action));
+    perform(index, action);
   if (hosts_[index].host)
     arm(index);
 }
@@ -178,7 +178,7 @@
   });
 }
 
-void World::perform(std::size_t index, Action action) {
+void World::perform(std::size_t index, Action &action) {
   if (auto *start = std::get_if<StartAttempt>(&action))
     return startAttempt(index, std::move(*start));
   if (const auto *cancel = std::get_if<CancelAttempt>(&action))
@@ -228,7 +228,8 @@
   });
 }
 
-void World::hear(std::size_t index, std::uint64_t incarnation, Event event) {
+void World::hear(std::size_t index, std::uint64_t incarnation,
+                 const Event &event) {
   HostSlot &slot = hosts_[index];
   if (slot.incarnation != incarnation)
     return;
@@ -241,7 +242,7 @@
   } else if (const auto *failed = std::get_if<AttemptFailed>(&event)) {
     slot.attempts.erase(failed->attempt);
   }
-  deliver(index, incarnation, std::move(event));
+  deliver(index, incarnation, event);
 }
 
 void World::watchStream(std::size_t index, std::uint64_t incarnation,
@@ -304,6 +305,8 @@
 
 void World::sendToPeer(std::size_t index, SendToPeer action) {
   ++peerMessages;
+  if (options_.observePeer)
+    options_.observePeer(index, action);
   const std::size_t to = hostIndex(action.host);
   if (to >= hosts_.size() ||
       broken_.count({std::min(index, to), std::max(index, to)}) > 0)
@@ -460,12 +463,14 @@
     // A call that the caller made later is no earlier call's business.
     if (ran->second.at < record.answeredAt &&
         sentAt(ran->second.attempt) < record.sentAt)
-      wrong->push_back(what + ": told not-run, but its key had run at " + name);
+      wrong->push_back(fmt::format(
+          "{}: told not-run, but its key had run at {}", what, name));
   }
   for (const auto &[name, upstream] : upstreams_)
     for (const AttemptId &id : upstream->executions)
       if (id.request == record.request && id.incarnation == record.incarnation)
-        wrong->push_back(what + ": told not-run, but ran at " + name);
+        wrong->push_back(
+            fmt::format("{}: told not-run, but ran at {}", what, name));
 }
 
 std::vector<std::string> World::violations() const {
--- a/src/auburnspring/scenario/scenario_parser.cpp
+++ b/src/auburnspring/scenario/scenario_parser.cpp
@@ -30,7 +30,7 @@
     if (words.empty())
       return;
     line_ = line;
-    const std::string wrong = readWords(words);
+    std::string wrong = readWords(words);
     if (!wrong.empty())
       faults_->push_back({scenario_.file, line, words.front(), wrong});
   }
@@ -140,13 +140,13 @@
     std::int64_t tokens = 32;
     std::size_t i = 2;
     for (; i + 1 < words.size() && words[i] != "stages"; i += 2) {
-      const std::string wrong =
+      std::string wrong =
           readRouteField(words[i], words[i + 1], &json, &tokens);
       if (!wrong.empty())
         return wrong;
     }
     for (++i; i < words.size(); ++i) {
-      const std::string wrong = addStage(words[i], tokens, &json);
+      std::string wrong = addStage(words[i], tokens, &json);
       if (!wrong.empty())
         return wrong;
     }
@@ -166,7 +166,7 @@
     }
     if (name == "deadline") {
       Duration span{0};
-      const std::string wrong = duration(value, &span);
+      std::string wrong = duration(value, &span);
       (*json)["deadline_ms"] = span.count() / 1000;
       return wrong;
     }
@@ -206,7 +206,7 @@
     }
     if (halves.size() == 2) {
       std::int64_t parts = 1;
-      const std::string wrong = number(halves[1], &parts);
+      std::string wrong = number(halves[1], &parts);
       if (!wrong.empty())
         return wrong;
       stage["parts"] = parts;
@@ -220,7 +220,7 @@
     step.line = line_;
     if (words.size() < 3)
       return "wanted at TIME VERB ...";
-    const std::string wrong = duration(words[1], &step.at);
+    std::string wrong = duration(words[1], &step.at);
     if (!wrong.empty())
       return wrong;
     step.words.assign(words.begin() + 2, words.end());
--- a/src/auburnspring/scenario/scenario_runner.cpp
+++ b/src/auburnspring/scenario/scenario_runner.cpp
@@ -36,7 +36,7 @@
 
 } // namespace
 
-const ScenarioRunner::VerbEntry ScenarioRunner::Verbs[] = {
+const ScenarioRunner::VerbEntry ScenarioRunner::verbs[] = {
     {"call", &ScenarioRunner::call},
     {"load", &ScenarioRunner::load},
     {"kill", &ScenarioRunner::kill},
@@ -104,7 +104,7 @@
 void ScenarioRunner::act(const ScenarioStep &step) {
   line_ = step.line;
   shown_ = absl::StrJoin(step.words, " ");
-  for (const VerbEntry &entry : Verbs) {
+  for (const VerbEntry &entry : verbs) {
     if (step.words.front() != entry.name)
       continue;
     if (!(this->*entry.verb)(step.words))
