A subset of each large pool, and load reports at a fixed rate

Ruled out: slices of a shuffled list, which move nearly all subsets when one host joins or dies. Measured at 380 hosts and 600 workers: every worker used, none with half as much again as the mean load (upstream_directory_test).

--- a/include/auburnspring/decision/entry_host.h
+++ b/include/auburnspring/decision/entry_host.h
@@ -65,6 +65,9 @@
   /// The host's whole state. No secret is part of it.
   nlohmann::json dump(Instant now) const;
 
+  /// Upstreams whose load reports this host has a use for.
+  std::vector<ListedUpstream> watchedUpstreams() const;
+
   /// This host's attempts in flight at one upstream.
   std::size_t inFlightAt(const std::string &upstream) const;
 
--- a/include/auburnspring/decision/upstream_directory.h
+++ b/include/auburnspring/decision/upstream_directory.h
@@ -24,6 +24,8 @@
     /// after this long.
     Duration doubtfulListDelay = std::chrono::seconds(30);
     PoolGate::Options gate;
+    /// A host uses about this many workers of a larger pool.
+    std::size_t subsetSize = 24;
   };
 
   explicit UpstreamDirectory(Options options);
@@ -36,13 +38,23 @@
   bool onLeaving(const LeavingRumour &rumour);
   void setDrained(const std::vector<std::string> &names);
 
-  /// The pools for a new snapshot; `liveHosts` share each pool's slots.
+  /// The pools for a new snapshot. `hosts` are the live ones, which share each
+  /// pool's slots; `self` is this one. Of a large pool a host takes a subset:
+  /// the workers that rendezvous hashing gives to it, each worker to the same
+  /// number of hosts.
   absl::flat_hash_map<std::string, std::shared_ptr<const Pool>>
-  pools(std::size_t liveHosts);
+  pools(const std::vector<std::string> &hosts, const std::string &self);
+
+  /// Upstreams in the pools last made, whose load is worth asking for.
+  std::vector<ListedUpstream> watched() const;
 
   nlohmann::json dump(TimePoint now) const;
 
 private:
+  static std::vector<WorkerPtr> subset(const std::vector<WorkerPtr> &workers,
+                                       std::size_t size,
+                                       const std::vector<std::string> &hosts,
+                                       const std::string &self);
   bool isDoubtful(const HostList &list, TimePoint now);
 
   Options options_;
@@ -53,6 +65,7 @@
   /// Signs of leaving by upstream and the incarnation they concern.
   absl::btree_map<std::string, std::string> leaving_;
   std::set<std::string> drained_;
+  std::vector<WorkerPtr> watched_;
 };
 
 } // namespace auburnspring
--- a/include/auburnspring/shell/host_shell.h
+++ b/include/auburnspring/shell/host_shell.h
@@ -77,9 +77,6 @@
   std::condition_variable wake_;
   // Guarded by mutex_.
   bool poked_ = false;
-  std::mutex listMutex_;
-  // Guarded by listMutex_.
-  HostList list_;
   std::vector<std::thread> threads_;
 };
 
--- a/src/auburnspring/config/settings_parser.cpp
+++ b/src/auburnspring/config/settings_parser.cpp
@@ -87,6 +87,8 @@
                  MaxIntervalMillis, Presence::Optional);
   reader->millis("load_report_ms", &settings->loadReportInterval, 50,
                  MaxIntervalMillis, Presence::Optional);
+  reader->integer("load_polls_per_second", &settings->loadPollsPerSecond, 1,
+                  10000, Presence::Optional);
   reader->millis("stop_timeout_ms", &settings->stopTimeout, 0, 3600000,
                  Presence::Optional);
 }
--- a/src/auburnspring/decision/entry_host.cpp
+++ b/src/auburnspring/decision/entry_host.cpp
@@ -368,7 +368,7 @@
   lastLiveHosts_ = membership_.aliveCount();
   ledger_.setHosts(ledgerHosts());
   snapshot->liveHosts = lastLiveHosts_;
-  snapshot->pools = directory_.pools(lastLiveHosts_);
+  snapshot->pools = directory_.pools(membership_.aliveHosts(), options_.host);
   snapshot->stopping = stopping_;
   snapshot_.publish(std::move(snapshot));
 }
@@ -390,6 +390,11 @@
   return configuration_.isReady() && !stopping_;
 }
 
+std::vector<ListedUpstream> EntryHost::watchedUpstreams() const {
+  const std::lock_guard<std::mutex> lock(control_);
+  return directory_.watched();
+}
+
 std::size_t EntryHost::inFlightAt(const std::string &upstream) const {
   std::vector<std::string> names;
   for (const auto &table : tables_) {
--- a/src/auburnspring/decision/upstream_directory.cpp
+++ b/src/auburnspring/decision/upstream_directory.cpp
@@ -1,5 +1,6 @@
 #include "auburnspring/decision/upstream_directory.h"
 
+#include "auburnspring/base/digest.h"
 #include "auburnspring/decision/worker_choice.h"
 
 #include <algorithm>
@@ -106,35 +107,66 @@
     worker->drained = drained_.count(name) > 0;
 }
 
-absl::flat_hash_map<std::string, std::shared_ptr<const Pool>>
-UpstreamDirectory::pools(std::size_t liveHosts) {
-  absl::flat_hash_map<std::string, std::shared_ptr<Pool>> building;
-  absl::flat_hash_map<std::string, double> slots;
-  for (const auto &[name, worker] : workers_) {
-    std::shared_ptr<Pool> &pool = building[worker->listed.pool];
-    if (!pool)
-      pool = std::make_shared<Pool>();
-    pool->workers.push_back(worker);
-    if (worker->takesNewWork())
-      slots[worker->listed.pool] += static_cast<double>(worker->listed.slots);
+// Each worker goes to the hosts that weigh most for it, so that every worker
+// has as many hosts and a change of one host moves little.
+std::vector<WorkerPtr> UpstreamDirectory::subset(
+    const std::vector<WorkerPtr> &workers, std::size_t size,
+    const std::vector<std::string> &hosts, const std::string &self) {
+  if (workers.size() <= size)
+    return workers;
+  const std::size_t hostsPerWorker =
+      (hosts.size() * size + workers.size() - 1) / workers.size();
+  std::vector<WorkerPtr> taken;
+  for (const WorkerPtr &worker : workers) {
+    const std::uint64_t seed = stableHash(worker->listed.name);
+    const std::uint64_t own = stableHash(self, seed);
+    std::size_t ahead = 0;
+    for (const std::string &host : hosts)
+      ahead += stableHash(host, seed) > own ? 1 : 0;
+    if (ahead < hostsPerWorker)
+      taken.push_back(worker);
   }
+  // Few hosts before many workers: nobody may be left without a choice.
+  return taken.empty() ? workers : taken;
+}
+
+absl::flat_hash_map<std::string, std::shared_ptr<const Pool>>
+UpstreamDirectory::pools(const std::vector<std::string> &hosts,
+                         const std::string &self) {
+  absl::btree_map<std::string, std::vector<WorkerPtr>> byPool;
+  for (const auto &[name, worker] : workers_)
+    byPool[worker->listed.pool].push_back(worker);
   absl::flat_hash_map<std::string, std::shared_ptr<const Pool>> built;
-  for (auto &[name, pool] : building) {
+  watched_.clear();
+  for (const auto &[name, workers] : byPool) {
+    double slots = 0;
+    for (const WorkerPtr &worker : workers)
+      if (worker->takesNewWork())
+        slots += static_cast<double>(worker->listed.slots);
     std::shared_ptr<PoolState> &state = states_[name];
     if (!state)
       state = std::make_shared<PoolState>(options_.gate);
     // A share above the even one lets a host take what others leave unused.
     constexpr double Overcommit = 1.5;
-    const double share =
-        slots[name] * Overcommit /
-        static_cast<double>(std::max<std::size_t>(liveHosts, 1));
-    state->gate.setCapacityHint(std::max(share, 1.0));
+    const auto count =
+        static_cast<double>(std::max<std::size_t>(hosts.size(), 1));
+    state->gate.setCapacityHint(std::max(slots * Overcommit / count, 1.0));
+    auto pool = std::make_shared<Pool>();
     pool->state = state;
+    pool->workers = subset(workers, options_.subsetSize, hosts, self);
+    watched_.insert(watched_.end(), pool->workers.begin(), pool->workers.end());
     built[name] = std::move(pool);
   }
   return built;
 }
 
+std::vector<ListedUpstream> UpstreamDirectory::watched() const {
+  std::vector<ListedUpstream> listed;
+  for (const WorkerPtr &worker : watched_)
+    listed.push_back(worker->listed);
+  return listed;
+}
+
 nlohmann::json UpstreamDirectory::dump(TimePoint now) const {
   nlohmann::json upstreams = nlohmann::json::array();
   for (const auto &[name, worker] : workers_)
--- /dev/null
+++ b/src/auburnspring/decision/upstream_directory_test.cpp
@@ -0,0 +1,83 @@
+#include "auburnspring/decision/upstream_directory.h"
+
+#include <catch2/catch.hpp>
+#include <fmt/format.h>
+
+#include <map>
+
+using namespace auburnspring;
+
+namespace {
+
+HostList listOf(std::size_t count, std::uint64_t version) {
+  HostList list;
+  list.version = version;
+  for (std::size_t i = 0; i < count; ++i) {
+    ListedUpstream upstream;
+    upstream.name = fmt::format("engine-{}", i);
+    upstream.pool = "engines";
+    upstream.incarnation = "1";
+    upstream.slots = 8;
+    list.upstreams.push_back(upstream);
+  }
+  return list;
+}
+
+std::vector<std::string> hostNames(std::size_t count) {
+  std::vector<std::string> names;
+  for (std::size_t i = 0; i < count; ++i)
+    names.push_back(fmt::format("entry-{}", i));
+  return names;
+}
+
+Step stepAt(Duration since) {
+  Step step;
+  step.now.steady = TimePoint(std::chrono::hours(1)) + since;
+  return step;
+}
+
+} // namespace
+
+TEST_CASE("a small pool is used whole") {
+  UpstreamDirectory directory({});
+  Step step = stepAt(Duration(0));
+  REQUIRE(directory.onHostList(listOf(20, 1), &step));
+  const auto pools = directory.pools(hostNames(9), "entry-3");
+  CHECK(pools.at("engines")->workers.size() == 20);
+}
+
+TEST_CASE("of 600 workers each is used by as many of 380 hosts") {
+  UpstreamDirectory directory({});
+  Step step = stepAt(Duration(0));
+  REQUIRE(directory.onHostList(listOf(600, 1), &step));
+  const std::vector<std::string> hosts = hostNames(380);
+  std::map<std::string, double> load;
+  std::size_t smallest = 600;
+  for (const std::string &host : hosts) {
+    const auto pools = directory.pools(hosts, host);
+    const auto &workers = pools.at("engines")->workers;
+    smallest = std::min(smallest, workers.size());
+    for (const WorkerPtr &worker : workers)
+      load[worker->listed.name] += 1.0 / static_cast<double>(workers.size());
+  }
+  CHECK(load.size() == 600);
+  // No host is left with few, and no worker gets half as much again as the
+  // mean when every host spreads evenly over its own.
+  CHECK(smallest >= 8);
+  for (const auto &[name, share] : load)
+    CHECK(share < 1.5 * 380 / 600);
+}
+
+TEST_CASE("a list that loses most upstreams is doubted for a while") {
+  UpstreamDirectory directory({});
+  Step first = stepAt(Duration(0));
+  REQUIRE(directory.onHostList(listOf(20, 1), &first));
+  Step empty = stepAt(std::chrono::seconds(1));
+  CHECK_FALSE(directory.onHostList(listOf(0, 2), &empty));
+  Step halved = stepAt(std::chrono::seconds(2));
+  CHECK_FALSE(directory.onHostList(listOf(5, 3), &halved));
+  Step later = stepAt(std::chrono::seconds(40));
+  CHECK(directory.onHostList(listOf(5, 3), &later));
+  Step old = stepAt(std::chrono::seconds(41));
+  CHECK_FALSE(directory.onHostList(listOf(20, 2), &old));
+}
--- a/src/auburnspring/shell/host_shell.cpp
+++ b/src/auburnspring/shell/host_shell.cpp
@@ -241,7 +241,8 @@
   const TimePoint until = readClock().steady + span;
   std::unique_lock<std::mutex> lock(mutex_);
   while (!stopping_ && readClock().steady < until)
-    wake_.wait_for(lock, std::chrono::milliseconds(50));
+    wake_.wait_for(lock, std::min<Duration>(std::chrono::milliseconds(50),
+                                            until - readClock().steady));
   return !stopping_;
 }
 
@@ -258,28 +259,32 @@
     }
     if (!read.ok() || !read->has_value())
       continue;
-    {
-      const std::lock_guard<std::mutex> lock(listMutex_);
-      list_ = **read;
-    }
     deliver(HostListRead{std::move(**read)});
   } while (pause(settings_.hostListInterval));
 }
 
+// Asks one upstream after the other, at a rate that does not grow with their
+// number: the more there are, the older a report gets.
 void HostShell::runLoadReports() {
-  while (pause(settings_.loadReportInterval)) {
-    HostList list;
-    {
-      const std::lock_guard<std::mutex> lock(listMutex_);
-      list = list_;
-    }
-    for (const ListedUpstream &upstream : list.upstreams) {
-      if (stopping_)
+  std::vector<ListedUpstream> round;
+  TimePoint roundBegan{};
+  while (!stopping_) {
+    if (round.empty()) {
+      const TimePoint next = roundBegan + settings_.loadReportInterval;
+      const TimePoint now = readClock().steady;
+      if (next > now && !pause(next - now))
         return;
-      absl::StatusOr<LoadReport> report = readLoad(upstream);
+      roundBegan = readClock().steady;
+      round = host_.watchedUpstreams();
+    }
+    if (!round.empty()) {
+      absl::StatusOr<LoadReport> report = readLoad(round.back());
+      round.pop_back();
       if (report.ok())
         deliver(LoadReported{*std::move(report)});
     }
+    if (!pause(std::chrono::seconds(1) / settings_.loadPollsPerSecond))
+      return;
   }
 }
 
