--- a/include/auburnspring/model/world.h
+++ b/include/auburnspring/model/world.h
@@ -138,7 +138,7 @@
   void handle(std::size_t host, Event event);
   void arm(std::size_t host);
   void perform(std::size_t host, Action &action);
-  void startAttempt(std::size_t host, StartAttempt action);
+  void startAttempt(std::size_t host, const StartAttempt &action);
   void watchStream(std::size_t host, std::uint64_t incarnation,
                    const AttemptId &id);
   void endAttempt(std::size_t host, std::uint64_t incarnation,
--- a/src/auburnspring/model/world.cpp
+++ b/src/auburnspring/model/world.cpp
@@ -179,8 +179,8 @@
 }
 
 void World::perform(std::size_t index, Action &action) {
-  if (auto *start = std::get_if<StartAttempt>(&action))
-    return startAttempt(index, std::move(*start));
+  if (const auto *start = std::get_if<StartAttempt>(&action))
+    return startAttempt(index, *start);
   if (const auto *cancel = std::get_if<CancelAttempt>(&action))
     return cancelAttempt(index, *cancel);
   if (const auto *answer = std::get_if<AnswerCaller>(&action))
@@ -201,13 +201,13 @@
   record.streamed += part->text;
 }
 
-void World::startAttempt(std::size_t index, StartAttempt action) {
+void World::startAttempt(std::size_t index, const StartAttempt &action) {
   ++attemptsStarted;
   HostSlot &slot = hosts_[index];
   const std::uint64_t incarnation = slot.incarnation;
   const AttemptId id = action.attempt;
   slot.attempts[id] = {action.upstream, queue_.now()};
-  const auto deliverHere = [this, index, incarnation](Event event) {
+  const auto deliverHere = [this, index, incarnation](const Event &event) {
     queue_.after(options_.hostToUpstream, [this, index, incarnation, event] {
       hear(index, incarnation, event);
     });
