Pool gate: the last slots are kept from a dominant organisation

Change: who has more than 0.6 of the slots does not get the last tenth; a request that is first among those that may start need not queue.

--- a/bench/decisions_bench.cpp
+++ b/bench/decisions_bench.cpp
@@ -6,6 +6,8 @@
 #include <benchmark/benchmark.h>
 #include <fmt/format.h>
 
+#include <deque>
+
 namespace {
 
 using namespace auburnspring;
@@ -62,9 +64,9 @@
   std::size_t next = 0;
   for (auto _ : state) {
     gate.ask(requests[next]);
-    next = next + 1 == organisations ? 0 : next + 1;
     granted.clear();
-    gate.release(&granted);
+    gate.release(requests[next].organisation, &granted);
+    next = next + 1 == organisations ? 0 : next + 1;
   }
 }
 BENCHMARK(admit)->Arg(5)->Arg(300)->Arg(16000);
@@ -73,17 +75,23 @@
   PoolGate::Options options;
   options.initialLimit = 8;
   PoolGate gate(options);
+  std::deque<std::size_t> running;
   std::vector<SlotRequest> requests(static_cast<std::size_t>(state.range(0)) +
                                     8);
   for (std::size_t i = 0; i < requests.size(); ++i) {
+    requests[i].request = i;
     requests[i].organisation = fmt::format("organisation-{}", i % 50);
-    gate.ask(requests[i]);
+    if (gate.ask(requests[i]) == GateAnswer::Granted)
+      running.push_back(i);
   }
   std::vector<SlotRequest> granted;
   std::size_t next = 0;
   for (auto _ : state) {
     granted.clear();
-    gate.release(&granted);
+    gate.release(requests[running.front()].organisation, &granted);
+    running.pop_front();
+    for (const SlotRequest &one : granted)
+      running.push_back(one.request);
     gate.ask(requests[next]);
     next = next + 1 == requests.size() ? 0 : next + 1;
     benchmark::DoNotOptimize(gate.expectedWait(requests[next].organisation, 1));
--- a/cmake/auburnspring_module.cmake
+++ b/cmake/auburnspring_module.cmake
@@ -13,7 +13,14 @@
 # Warnings as errors and the include folder for any target.
 function(auburnspring_target TARGET)
   target_include_directories(${TARGET} PUBLIC ${CMAKE_SOURCE_DIR}/include)
-  target_compile_options(${TARGET} PRIVATE -Wall -Wextra -Werror)
+  if(AUBURNSPRING_SANITIZE)
+    # The compiler warns of code that the sanitizers themselves add.
+    target_compile_options(${TARGET} PUBLIC -fsanitize=${AUBURNSPRING_SANITIZE}
+      -fno-omit-frame-pointer)
+    target_link_options(${TARGET} PUBLIC -fsanitize=${AUBURNSPRING_SANITIZE})
+  else()
+    target_compile_options(${TARGET} PRIVATE -Wall -Wextra -Werror)
+  endif()
 endfunction()
 
 # auburnspring_test(TARGET LABEL LIB SOURCES...)
--- a/include/auburnspring/decision/event.h
+++ b/include/auburnspring/decision/event.h
@@ -113,6 +113,7 @@
   RequestId request = 0;
   std::uint32_t stage = 0;
   std::uint32_t part = 0;
+  std::string organisation;
   std::shared_ptr<PoolState> pool;
 };
 
--- a/include/auburnspring/decision/pool_gate.h
+++ b/include/auburnspring/decision/pool_gate.h
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -43,6 +44,10 @@
     /// Attempts that take more than this many times their unloaded duration
     /// shrink the limit.
     double stretchTolerance = 2.0;
+    /// Share of the slots that is kept from an organisation that has more than
+    /// `dominance` of them.
+    double reserve = 0.1;
+    double dominance = 0.6;
   };
 
   explicit PoolGate(Options options);
@@ -58,8 +63,10 @@
   /// Takes a slot only if one is free and nobody waits.
   bool tryTake(const SlotRequest &request);
 
-  /// Returns a slot and fills `granted` with the parts that start now.
-  void release(std::vector<SlotRequest> *granted);
+  /// Returns an organisation's slot and fills `granted` with the parts that
+  /// start now.
+  void release(const std::string &organisation,
+               std::vector<SlotRequest> *granted);
 
   /// Removes what a finished request still has in the queue.
   void withdraw(RequestId request);
@@ -92,11 +99,13 @@
     double pass = 0;
     double weight = 1;
     std::size_t queued = 0;
+    std::int64_t inUse = 0;
   };
 
   bool hasRoom() const;
+  bool hasRoomFor(const std::string &organisation) const;
   void take(const SlotRequest &request);
-  std::size_t pickNext() const;
+  std::optional<std::size_t> pickNext() const;
   void shrink(TimePoint now);
 
   Options options_;
--- a/src/auburnspring/decision/entry_host.cpp
+++ b/src/auburnspring/decision/entry_host.cpp
@@ -202,9 +202,10 @@
   if (found)
     return;
   std::vector<SlotRequest> granted;
-  event.pool->gate.release(&granted);
+  event.pool->gate.release(event.organisation, &granted);
   for (const SlotRequest &next : granted)
-    step->follow(SlotGranted{next.request, next.stage, next.part, event.pool});
+    step->follow(SlotGranted{next.request, next.stage, next.part,
+                             next.organisation, event.pool});
 }
 
 void EntryHost::onEvent(const ClaimDecided &event, Step *step) {
--- a/src/auburnspring/decision/pool_gate.cpp
+++ b/src/auburnspring/decision/pool_gate.cpp
@@ -18,6 +18,12 @@
   return Duration(static_cast<std::int64_t>(mixed));
 }
 
+bool isSooner(const SlotRequest &a, const SlotRequest &b) {
+  if (a.priority != b.priority)
+    return a.priority < b.priority;
+  return a.latestStart < b.latestStart;
+}
+
 } // namespace
 
 PoolGate::PoolGate(Options options)
@@ -38,18 +44,33 @@
   return static_cast<double>(inUse_) < std::max(limit_, options_.minLimit);
 }
 
+// The last slots are kept from an organisation that has most of the others, so
+// that a small one's request need not wait for a large one's long work to end.
+bool PoolGate::hasRoomFor(const std::string &organisation) const {
+  if (!hasRoom())
+    return false;
+  const double slots = std::max(limit_, options_.minLimit);
+  if (static_cast<double>(inUse_) < slots * (1 - options_.reserve))
+    return true;
+  const auto turn = turns_.find(organisation);
+  return turn == turns_.end() ||
+         static_cast<double>(turn->second.inUse) < slots * options_.dominance;
+}
+
 // Start-time fair queueing: an organisation that was idle joins at the present
 // pass, so that it can't save up turns.
 void PoolGate::take(const SlotRequest &request) {
   ++inUse_;
   Turn &turn = turns_[request.organisation];
+  ++turn.inUse;
   turn.pass = std::max(turn.pass, lastPass_);
   lastPass_ = turn.pass;
   turn.pass += static_cast<double>(request.cost.count()) / request.weight;
   if (turns_.size() <= forgetAt_)
     return;
   absl::erase_if(turns_, [this](const auto &entry) {
-    return entry.second.queued == 0 && entry.second.pass <= lastPass_;
+    const Turn &turn = entry.second;
+    return turn.queued == 0 && turn.inUse == 0 && turn.pass <= lastPass_;
   });
   // Looking again only after as many more have come keeps the price of a
   // request independent of the number of organisations.
@@ -58,7 +79,7 @@
 
 bool PoolGate::tryTake(const SlotRequest &request) {
   const std::lock_guard<std::mutex> lock(mutex_);
-  if (!queue_.empty() || !hasRoom())
+  if (!queue_.empty() || !hasRoomFor(request.organisation))
     return false;
   take(request);
   return true;
@@ -66,31 +87,38 @@
 
 GateAnswer PoolGate::ask(const SlotRequest &request) {
   const std::lock_guard<std::mutex> lock(mutex_);
-  if (queue_.empty() && hasRoom()) {
+  if (queue_.empty() && hasRoomFor(request.organisation)) {
     take(request);
     return GateAnswer::Granted;
   }
   if (queue_.size() >= options_.maxQueued)
     return GateAnswer::Full;
+  turns_.try_emplace(request.organisation);
   queue_.push_back(request);
+  // What waits may wait for its own share only; a request that is first among
+  // those that may start need not.
+  if (hasRoom() && pickNext() == queue_.size() - 1) {
+    queue_.pop_back();
+    take(request);
+    return GateAnswer::Granted;
+  }
   Turn &turn = turns_[request.organisation];
   ++turn.queued;
   turn.weight = request.weight;
   return GateAnswer::Queued;
 }
 
-std::size_t PoolGate::pickNext() const {
-  std::size_t best = 0;
+std::optional<std::size_t> PoolGate::pickNext() const {
+  std::optional<std::size_t> best;
   double bestPass = std::numeric_limits<double>::infinity();
   for (std::size_t i = 0; i < queue_.size(); ++i) {
     const SlotRequest &candidate = queue_[i];
     const double pass =
         std::max(turns_.at(candidate.organisation).pass, lastPass_);
-    const SlotRequest &leader = queue_[best];
-    const bool sooner = candidate.priority != leader.priority
-                            ? candidate.priority < leader.priority
-                            : candidate.latestStart < leader.latestStart;
-    if (pass > bestPass || (pass == bestPass && !sooner))
+    const bool earlier =
+        !best || pass < bestPass ||
+        (pass == bestPass && isSooner(candidate, queue_[*best]));
+    if (!earlier || !hasRoomFor(candidate.organisation))
       continue;
     best = i;
     bestPass = pass;
@@ -98,13 +126,14 @@
   return best;
 }
 
-void PoolGate::release(std::vector<SlotRequest> *granted) {
+void PoolGate::release(const std::string &organisation,
+                       std::vector<SlotRequest> *granted) {
   const std::lock_guard<std::mutex> lock(mutex_);
   --inUse_;
-  while (!queue_.empty() && hasRoom()) {
-    const std::size_t next = pickNext();
-    SlotRequest request = std::move(queue_[next]);
-    queue_.erase(queue_.begin() + static_cast<std::ptrdiff_t>(next));
+  --turns_[organisation].inUse;
+  while (const std::optional<std::size_t> next = pickNext()) {
+    SlotRequest request = std::move(queue_[*next]);
+    queue_.erase(queue_.begin() + static_cast<std::ptrdiff_t>(*next));
     --turns_[request.organisation].queued;
     take(request);
     granted->push_back(std::move(request));
--- /dev/null
+++ b/src/auburnspring/decision/pool_gate_test.cpp
@@ -0,0 +1,136 @@
+#include "auburnspring/decision/pool_gate.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+#include <map>
+
+using namespace auburnspring;
+
+namespace {
+
+PoolGate::Options limitOf(double limit) {
+  PoolGate::Options options;
+  options.initialLimit = limit;
+  return options;
+}
+
+SlotRequest slotFor(const std::string &organisation, RequestId request,
+                    double weight = 1) {
+  SlotRequest made;
+  made.organisation = organisation;
+  made.request = request;
+  made.weight = weight;
+  return made;
+}
+
+} // namespace
+
+TEST_CASE("slots are granted to the limit, then queued, then refused") {
+  PoolGate::Options options = limitOf(2);
+  options.maxQueued = 1;
+  options.reserve = 0;
+  PoolGate gate(options);
+  CHECK(gate.ask(slotFor("a", 1)) == GateAnswer::Granted);
+  CHECK(gate.ask(slotFor("a", 2)) == GateAnswer::Granted);
+  CHECK(gate.ask(slotFor("a", 3)) == GateAnswer::Queued);
+  CHECK(gate.ask(slotFor("a", 4)) == GateAnswer::Full);
+  std::vector<SlotRequest> granted;
+  gate.release("a", &granted);
+  REQUIRE(granted.size() == 1);
+  CHECK(granted.front().request == 3);
+}
+
+TEST_CASE("a withdrawn request is not granted") {
+  PoolGate::Options options = limitOf(1);
+  PoolGate gate(options);
+  gate.ask(slotFor("a", 1));
+  gate.ask(slotFor("a", 2));
+  gate.withdraw(2);
+  std::vector<SlotRequest> granted;
+  gate.release("a", &granted);
+  CHECK(granted.empty());
+}
+
+TEST_CASE("a small organisation need not wait behind a dominant one") {
+  PoolGate gate(limitOf(20));
+  RequestId number = 0;
+  for (int i = 0; i < 40; ++i)
+    gate.ask(slotFor("large", ++number));
+  CHECK(gate.read().inUse == 18);
+  CHECK(gate.ask(slotFor("small", ++number)) == GateAnswer::Granted);
+}
+
+TEST_CASE("organisations share slot time by weight") {
+  PoolGate gate(limitOf(4));
+  RequestId number = 0;
+  std::map<std::string, double> served;
+  std::vector<std::string> running;
+  std::map<std::string, int> waiting;
+  // Each keeps three in the queue; the work of "long" takes three times as
+  // long, and "heavy" has twice the weight.
+  const auto refill = [&] {
+    for (const char *name : {"long", "short", "heavy"})
+      while (waiting[name] < 3) {
+        SlotRequest request = slotFor(name, ++number);
+        request.cost =
+            std::chrono::milliseconds(request.organisation == "long" ? 30 : 10);
+        request.weight = request.organisation == "heavy" ? 2 : 1;
+        if (gate.ask(request) == GateAnswer::Granted)
+          running.push_back(name);
+        else
+          ++waiting[name];
+      }
+  };
+  for (int round = 0; round < 2000; ++round) {
+    refill();
+    const std::string ended = running.front();
+    running.erase(running.begin());
+    served[ended] += ended == "long" ? 30 : 10;
+    std::vector<SlotRequest> granted;
+    gate.release(ended, &granted);
+    for (const SlotRequest &next : granted) {
+      running.push_back(next.organisation);
+      --waiting[next.organisation];
+    }
+  }
+  CHECK(served["long"] == Approx(served["short"]).epsilon(0.1));
+  CHECK(served["heavy"] == Approx(2 * served["short"]).epsilon(0.1));
+}
+
+TEST_CASE("the gate never loses or doubles a slot, whatever is asked of it") {
+  rc::check("slots", [](const std::vector<std::uint8_t> &moves) {
+    PoolGate gate(limitOf(3));
+    std::map<RequestId, std::string> waiting;
+    std::map<RequestId, std::string> running;
+    RequestId number = 0;
+    const auto start = [&](const SlotRequest &request) {
+      RC_ASSERT(running.emplace(request.request, request.organisation).second);
+      waiting.erase(request.request);
+    };
+    for (const std::uint8_t move : moves) {
+      const std::string organisation(1, static_cast<char>('a' + move % 3));
+      if (move % 4 != 0 || running.empty()) {
+        const SlotRequest request = slotFor(organisation, ++number);
+        if (gate.ask(request) == GateAnswer::Granted)
+          start(request);
+        else
+          waiting[request.request] = organisation;
+      } else if (move % 8 == 0 && !waiting.empty()) {
+        gate.withdraw(waiting.begin()->first);
+        waiting.erase(waiting.begin());
+      } else {
+        const auto ended = *running.begin();
+        running.erase(running.begin());
+        std::vector<SlotRequest> granted;
+        gate.release(ended.second, &granted);
+        for (const SlotRequest &next : granted)
+          start(next);
+      }
+      const PoolGate::Reading reading = gate.read();
+      RC_ASSERT(reading.inUse == static_cast<std::int64_t>(running.size()));
+      RC_ASSERT(reading.queued == waiting.size());
+      RC_ASSERT(running.size() <= 3U);
+    }
+  });
+}
--- a/src/auburnspring/decision/request_run.cpp
+++ b/src/auburnspring/decision/request_run.cpp
@@ -38,11 +38,13 @@
   return text.compare(0, prefix.size(), prefix) == 0;
 }
 
-void releaseSlot(const std::shared_ptr<PoolState> &pool, Step *step) {
+void releaseSlot(const std::shared_ptr<PoolState> &pool,
+                 const std::string &organisation, Step *step) {
   std::vector<SlotRequest> granted;
-  pool->gate.release(&granted);
+  pool->gate.release(organisation, &granted);
   for (const SlotRequest &next : granted)
-    step->follow(SlotGranted{next.request, next.stage, next.part, pool});
+    step->follow(SlotGranted{next.request, next.stage, next.part,
+                             next.organisation, pool});
 }
 
 } // namespace
@@ -230,7 +232,7 @@
                       granted.stage == stage_ && granted.part < parts_.size() &&
                       !parts_[granted.part].done;
   if (!wanted)
-    return releaseSlot(granted.pool, step);
+    return releaseSlot(granted.pool, arrived_.organisation, step);
   dispatch(granted.part, context, step);
 }
 
@@ -254,7 +256,7 @@
     worker = chooseWorker(found->workers, choice, now, &context.random);
   }
   if (!worker) {
-    releaseSlot(stagePool_, step);
+    releaseSlot(stagePool_, arrived_.organisation, step);
     if (liveOn(part) > 0)
       return;
     return giveUp(late ? "the remaining stages can't finish within the deadline"
@@ -331,7 +333,7 @@
   LiveAttempt ended = std::move(*attempt);
   attempts_.erase(attempts_.begin() + (attempt - attempts_.data()));
   --ended.worker->inFlight;
-  releaseSlot(ended.pool, step);
+  releaseSlot(ended.pool, arrived_.organisation, step);
   return ended;
 }
 
@@ -548,7 +550,7 @@
   if (!stagePool_->gate.tryTake(slotRequest(part)))
     return;
   if (!stagePool_->budget.spend())
-    return releaseSlot(stagePool_, step);
+    return releaseSlot(stagePool_, arrived_.organisation, step);
   for (const LiveAttempt &attempt : attempts_)
     if (attempt.id.stage == stage_ && attempt.id.part == part)
       run.failedOn.push_back(attempt.worker->listed.name);
