--- a/include/auburnspring/config/settings.h
+++ b/include/auburnspring/config/settings.h
@@ -66,7 +66,7 @@
   Duration hostListInterval = std::chrono::milliseconds(500);
   Duration loadReportInterval = std::chrono::milliseconds(500);
   /// Load reports asked for in a second, whatever the number of upstreams.
-  std::int64_t loadPollsPerSecond = 16;
+  std::int64_t loadPollsPerSecond = 12;
   /// Longest wait for requests in flight when the daemon is asked to stop.
   Duration stopTimeout = std::chrono::seconds(30);
 };
