--- a/src/auburnspring/decision/request_run.cpp
+++ b/src/auburnspring/decision/request_run.cpp
@@ -13,9 +13,6 @@
 namespace {
 
 constexpr std::uint32_t MaxAttempts = 4;
-constexpr Duration ClaimTimeout = std::chrono::milliseconds(500);
-constexpr Duration FirstLookAgain = std::chrono::milliseconds(50);
-constexpr Duration MaxLookAgain = std::chrono::milliseconds(800);
 // A once-only attempt is heard out beyond the caller's deadline, so that its
 // outcome is recorded.
 constexpr Duration OnceRunOn = std::chrono::seconds(30);
@@ -121,71 +118,6 @@
   beginStage(0, context, step);
 }
 
-void RequestRun::askForClaim(bool refresh, const RunContext &context,
-                             Step *step) {
-  phase_ = Phase::Claiming;
-  claimPending_ = true;
-  lookAgainAt_ = TimePoint::max();
-  Claim claim;
-  claim.request = arrived_.request;
-  claim.key = scopedKey_;
-  claim.bodyDigest = bodyDigest_;
-  claim.answerBy = std::min(deadline_, step->now.steady + ClaimTimeout);
-  claim.refresh = refresh;
-  context.ledger.claim(claim, step);
-}
-
-void RequestRun::lookAgainLater(Step *step) {
-  phase_ = Phase::AwaitingOther;
-  lookAgainWait_ = std::clamp(lookAgainWait_ * 2, FirstLookAgain, MaxLookAgain);
-  lookAgainAt_ = step->now.steady + lookAgainWait_;
-}
-
-void RequestRun::onClaim(const ClaimDecided &event, const RunContext &context,
-                         Step *step) {
-  claimPending_ = false;
-  if (event.verdict == ClaimVerdict::Granted) {
-    claimed_ = true;
-    nonce_ = event.nonce;
-  }
-  if (answered_)
-    return settle(context, step);
-  switch (event.verdict) {
-  case ClaimVerdict::Granted:
-    otherMayRun_ = false;
-    keyIsFresh_ = true;
-    phase_ = Phase::Running;
-    if (step->now.steady >= deadline_)
-      return giveUp("the claim came after the deadline", context, step);
-    return admit(context, step);
-  case ClaimVerdict::Mismatch:
-    return reject("the Idempotency-Key was used with another body", context,
-                  step);
-  case ClaimVerdict::Unavailable:
-    if (otherMayRun_)
-      return lookAgainLater(step);
-    return giveUp("the ledger of claims can't be written", context, step);
-  case ClaimVerdict::Taken:
-    otherMayRun_ = true;
-    if (!event.outcome)
-      return lookAgainLater(step);
-    return relay(event, context, step);
-  }
-}
-
-void RequestRun::relay(const ClaimDecided &event, const RunContext &context,
-                       Step *step) {
-  if (*event.outcome != Outcome::Complete)
-    return giveUp(absl::StrCat("an earlier call with this key at ",
-                               event.claimant, " ended without an answer"),
-                  context, step);
-  AnswerCaller relayed;
-  relayed.outcome = Outcome::Complete;
-  relayed.body = event.answer;
-  relayed.reason = absl::StrCat("relayed from ", event.claimant);
-  answer(std::move(relayed), context, step);
-}
-
 void RequestRun::beginStage(std::size_t index, const RunContext &context,
                             Step *step) {
   stage_ = index;
@@ -565,13 +497,6 @@
                                             jitter(context.random)));
 }
 
-// A caller that calls again after an answer it never got must not be told
-// not-run by a host that could not look its key up.
-bool RequestRun::mayHaveRunEarlier() const {
-  return route().repeat == RepeatRule::Never && !arrived_.key.empty() &&
-         !arrived_.firstTry && !keyIsFresh_;
-}
-
 void RequestRun::giveUp(const std::string &reason, const RunContext &context,
                         Step *step) {
   AnswerCaller given;
@@ -614,19 +539,6 @@
   step->act(std::move(answer));
 }
 
-// Ends the claim without an answer: released if nothing ran under it, else
-// recorded as unknown.
-void RequestRun::settle(const RunContext &context, Step *step) {
-  if (!claimed_)
-    return;
-  claimed_ = false;
-  if (onceMayHaveRun_)
-    context.ledger.record(scopedKey_, nonce_, bodyDigest_, Outcome::Unknown, "",
-                          step);
-  else
-    context.ledger.release(scopedKey_, nonce_, step);
-}
-
 StageCost &RequestRun::costOf(const AttemptId &id) const {
   return live_->counters->stages[id.stage];
 }
