Ledger: drop an operation only on a page read after it was added

Cause: the process test once found a key 'running' that three hosts had been told complete. A preferred host that had last seen an earlier claim of the key took the outcome of the next claim, which another host had written directly, for a foreign one and dropped it; a release could be dropped the same way and leave its key stuck. Ruled out: a lost write (the shard retries), the stop of the host (the outage was seconds before). Change: an outcome or release that the cached page speaks against waits for a page read after it was added. The new test fails before (no outcome recorded) and passes after. Also: callers' request ids in the logs of every host, and what the linter found.

--- a/include/auburnspring/decision/ledger_shard.h
+++ b/include/auburnspring/decision/ledger_shard.h
@@ -107,6 +107,7 @@
   bool applyClaim(LedgerPage *page, LedgerOperation *operation);
   bool applyRecord(LedgerPage *page, LedgerOperation *operation);
   bool applyRelease(LedgerPage *page, LedgerOperation *operation);
+  bool isConfirmedFor(const LedgerOperation &operation);
   const LedgerRecord *findSealed(const std::string &key) const;
 
   void finishWrite(std::int64_t revision, TimePoint now);
@@ -131,6 +132,11 @@
   std::map<std::string, LedgerPage> sealed_;
 
   Call call_ = Call::None;
+  TimePoint callAt_{};
+  /// The page was the service's own at this time or later.
+  TimePoint confirmedAt_{};
+  /// An operation can't be judged before the head is read anew.
+  bool needsRead_ = false;
   LedgerPage writing_;
   std::size_t writingBytes_ = 0;
   std::vector<SealedPage> dropping_;
--- a/include/auburnspring/decision/rcu_cell.h
+++ b/include/auburnspring/decision/rcu_cell.h
@@ -45,7 +45,8 @@
   }
 
 private:
-  struct ReadSection {
+  class ReadSection {
+  public:
     explicit ReadSection(char *marker) : marker_(marker) {
       urcu_bp_read_lock();
     }
@@ -55,6 +56,8 @@
     }
     ReadSection(const ReadSection &) = delete;
     ReadSection &operator=(const ReadSection &) = delete;
+
+  private:
     char *marker_;
   };
 
--- a/src/auburnspring/decision/ledger_shard.cpp
+++ b/src/auburnspring/decision/ledger_shard.cpp
@@ -101,6 +101,7 @@
   if (call_ != Call::None || now.steady < notBefore_)
     return std::nullopt;
   if (!operations_.empty() && isUrgent(now.steady)) {
+    callAt_ = now.steady;
     if (std::optional<KvOperation> urgent = nextUrgent(now))
       return urgent;
   } else if (garbage_.empty()) {
@@ -194,6 +195,9 @@
   sweep();
   if (!changed)
     leaveQueue();
+  if (!changed && std::exchange(needsRead_, false))
+    return readHead();
+  needsRead_ = false;
   if (!changed || !mayWrite(now.steady)) {
     for (LedgerOperation &operation : operations_)
       operation.inWrite = false;
@@ -267,6 +271,15 @@
   return false;
 }
 
+// Another host may have written the shard since this one last saw it. An
+// operation is dropped only on the word of a page read after it was added.
+bool LedgerShard::isConfirmedFor(const LedgerOperation &operation) {
+  if (confirmedAt_ >= operation.since)
+    return true;
+  needsRead_ = true;
+  return false;
+}
+
 bool LedgerShard::applyRecord(LedgerPage *page, LedgerOperation *operation) {
   const auto found = page->records.find(operation->key);
   const LedgerRecord *present = found != page->records.end()
@@ -276,6 +289,8 @@
   const bool settled =
       present != nullptr &&
       (present->outcome || present->nonce != operation->record.nonce);
+  if (settled && !isConfirmedFor(*operation))
+    return false;
   if (settled) {
     end(operation, ClaimVerdict::Taken, present);
     return false;
@@ -299,6 +314,8 @@
   const bool fences = operation->lostAt && *operation->lostAt == revision_;
   if (ours || marks || fences)
     return true;
+  if (!isConfirmedFor(*operation))
+    return false;
   end(operation, ClaimVerdict::Granted, nullptr);
   return false;
 }
@@ -353,6 +370,7 @@
 
 void LedgerShard::finishWrite(std::int64_t revision, TimePoint /*now*/) {
   page_ = std::exchange(writing_, {});
+  confirmedAt_ = callAt_;
   pageBytes_ = writingBytes_;
   revision_ = revision;
   known_ = true;
@@ -411,6 +429,7 @@
     return backOff(now);
   }
   page_ = *std::move(page);
+  confirmedAt_ = callAt_;
   pageBytes_ = reply.value.size();
   revision_ = reply.revision;
   known_ = true;
--- a/src/auburnspring/decision/ledger_test.cpp
+++ b/src/auburnspring/decision/ledger_test.cpp
@@ -182,6 +182,25 @@
   CHECK(here.claim(2, "key").verdict == ClaimVerdict::Granted);
 }
 
+TEST_CASE(
+    "an outcome is not dropped on the word of a page that is out of date") {
+  Service service;
+  // The preferred host knows the first claim of the key and nothing since.
+  Bench preferred(small("p"), &service);
+  const ClaimDecided old = preferred.claim(1, "key");
+  Bench other(small("a"), &service);
+  Step step = other.step();
+  other.ledger.release("key", old.nonce, &step);
+  other.perform(&step);
+  const ClaimDecided granted = other.claim(2, "key");
+  REQUIRE(granted.verdict == ClaimVerdict::Granted);
+  preferred.now += std::chrono::seconds(1);
+  preferred.record("key", granted.nonce);
+  const auto page = decodePage(service.values["auburnspring/ledger/0"].first);
+  REQUIRE(page.ok());
+  CHECK(page->records.at("key").outcome == Outcome::Complete);
+}
+
 TEST_CASE("a retention ago is forgotten with its sealed pages") {
   Service service;
   Ledger::Options options = small("a");
--- a/src/auburnspring/server/route_handler.cpp
+++ b/src/auburnspring/server/route_handler.cpp
@@ -1,13 +1,18 @@
 #include "route_handler.h"
 
+#include "auburnspring/base/log.h"
+
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPServerRequestImpl.h>
 #include <Poco/Net/StreamSocket.h>
 #include <Poco/Timespan.h>
+#include <Poco/UUIDGenerator.h>
 #include <absl/strings/numbers.h>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+#include <cctype>
 #include <istream>
 #include <ostream>
 
@@ -80,6 +85,21 @@
       data.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
 }
 
+// The caller's own id, so that a request can be followed from host to host, or
+// a new one.
+std::string requestName(const Poco::Net::HTTPServerRequest &request) {
+  constexpr std::size_t MaxBytes = 64;
+  std::string given = request.get("X-Request-Id", "");
+  const bool usable =
+      !given.empty() && given.size() <= MaxBytes &&
+      std::all_of(given.begin(), given.end(), [](unsigned char c) {
+        return std::isalnum(c) != 0 || c == '-' || c == '_' || c == '.';
+      });
+  if (usable)
+    return given;
+  return Poco::UUIDGenerator::defaultGenerator().createRandom().toString();
+}
+
 nlohmann::json finalJson(const AnswerCaller &answer) {
   nlohmann::json json = {{"outcome", toString(answer.outcome)},
                          {"reason", answer.reason}};
@@ -173,7 +193,15 @@
     return sendAnswer(rejected, status, &response);
   }
   const bool stream = arrived.stream;
+  const std::string name = requestName(request);
+  response.set("X-Request-Id", name);
+  const std::string organisation = arrived.organisation;
   const RequestId id = shell_->submit(std::move(arrived));
+  logEvent(LogLevel::Info, "request_arrived",
+           {{"request", id},
+            {"request_id", name},
+            {"route", route_},
+            {"organisation", organisation}});
   try {
     if (stream)
       serveStream(id, request, response);
