--- a/src/auburnspring/decision/ledger.cpp
+++ b/src/auburnspring/decision/ledger.cpp
@@ -15,6 +15,14 @@
 // The preferred host ends a claim at its time by itself; its word takes a way.
 constexpr Duration VerdictGrace = std::chrono::milliseconds(50);
 
+// Gives up a claim that another host may still write.
+LedgerOperation markedRelease(const LedgerOperation &claim) {
+  LedgerOperation release = claim;
+  release.verb = LedgerVerb::Release;
+  release.leavesMark = true;
+  return release;
+}
+
 } // namespace
 
 Ledger::Ledger(Options options) : options_(std::move(options)) {
@@ -117,9 +125,7 @@
     const LedgerOperation &claim = it->second.operation;
     if (claim.verb != LedgerVerb::Claim || claim.request != request)
       continue;
-    LedgerOperation release = claim;
-    release.verb = LedgerVerb::Release;
-    release.leavesMark = true;
+    LedgerOperation release = markedRelease(claim);
     forwarded_.erase(it);
     addHere(std::move(release), false, step);
     return true;
@@ -169,10 +175,7 @@
 // The time of a claim is up while the busy host still has it.
 void Ledger::giveUpWaiting(const Forwarded &forwarded, Step *step) {
   decide(forwarded.operation, ClaimVerdict::Unavailable, nullptr, step);
-  LedgerOperation release = forwarded.operation;
-  release.verb = LedgerVerb::Release;
-  release.leavesMark = true;
-  route(std::move(release), false, step);
+  route(markedRelease(forwarded.operation), false, step);
 }
 
 // The silent host may have written the claim, or may write it yet. It is given
@@ -181,10 +184,7 @@
   ++forwardTimeouts_;
   silentUntil_[forwarded.host] = step->now.steady + options_.avoidSilent;
   if (forwarded.operation.verb == LedgerVerb::Claim) {
-    LedgerOperation release = forwarded.operation;
-    release.verb = LedgerVerb::Release;
-    release.leavesMark = true;
-    addHere(std::move(release), true, step);
+    addHere(markedRelease(forwarded.operation), true, step);
     forwarded.operation.record.nonce = newNonce();
   }
   addHere(std::move(forwarded.operation), forwarded.refresh, step);
