--- a/include/auburnspring/base/log.h
+++ b/include/auburnspring/base/log.h
@@ -3,6 +3,7 @@
 
 #include <absl/strings/string_view.h>
 
+#include <functional>
 #include <initializer_list>
 #include <string>
 
@@ -41,6 +42,11 @@
 void logEvent(LogLevel level, absl::string_view event,
               std::initializer_list<LogField> fields = {});
 
+/// Takes each finished line, its newline included, in place of standard error.
+/// Set it before other threads log.
+void setLogSink(std::function<void(absl::string_view event, std::string line)>
+                    sink);
+
 /// One formatted line without its time and its newline.
 std::string formatLogLine(LogLevel level, absl::string_view event,
                           std::initializer_list<LogField> fields);
--- a/include/auburnspring/decision/peer_message.h
+++ b/include/auburnspring/decision/peer_message.h
@@ -3,6 +3,8 @@
 
 #include "auburnspring/config/configuration.h"
 #include "auburnspring/config/settings.h"
+#include "auburnspring/decision/piece_job.h"
+#include "auburnspring/decision/store_item.h"
 
 #include <cstdint>
 #include <string>
@@ -89,8 +91,74 @@
   std::string present;
 };
 
-using PeerMessage = std::variant<Ping, Ack, BundleRequest, BundleReply,
-                                 LedgerForward, LedgerForwarded>;
+/// Load that the sender has on one upstream.
+struct UpstreamLoad {
+  std::string upstream;
+  std::int64_t inFlight = 0;
+  std::int64_t prefillTokens = 0;
+  std::int64_t heldTokens = 0;
+};
+
+/// What a serving host tells its peers of itself, several times a second.
+struct HostBeat {
+  /// Revision up to which the sender's copy of the store is whole.
+  std::int64_t storeRevision = 0;
+  /// False while the sender can't reach the store.
+  bool storeReachable = false;
+  /// The sender is about to stop and takes no new jobs.
+  bool isLeaving = false;
+  std::vector<UpstreamLoad> loads;
+};
+
+/// Hands jobs to the host that gathers pieces for their pools. Times travel as
+/// time left, since clocks are never compared across hosts.
+struct PieceSubmit {
+  struct Entry {
+    PieceJob job;
+    Duration goalIn{0};
+    Duration deadlineIn{0};
+  };
+  std::vector<Entry> jobs;
+};
+
+/// The request is over; its jobs are of no more use.
+struct PieceWithdraw {
+  std::string pool;
+  std::string requestId;
+};
+
+/// Results that nobody needs any more.
+struct PieceRelease {
+  std::string pool;
+  std::vector<std::string> results;
+};
+
+struct PieceOutcomes {
+  std::vector<PieceOutcome> outcomes;
+};
+
+/// Asks a gathering host whether it is alive, or answers that it is.
+struct GathererPing {
+  bool isAnswer = false;
+};
+
+/// Asks for what the sender's copy of the store lacks.
+struct ReplicaRequest {
+  std::int64_t revision = 0;
+};
+
+struct ReplicaReply {
+  /// All items at `revision`, else the changes up to it.
+  bool isWhole = false;
+  std::int64_t revision = 0;
+  std::vector<StoreChange> changes;
+};
+
+using PeerMessage =
+    std::variant<Ping, Ack, BundleRequest, BundleReply, LedgerForward,
+                 LedgerForwarded, HostBeat, PieceSubmit, PieceWithdraw,
+                 PieceRelease, PieceOutcomes, GathererPing, ReplicaRequest,
+                 ReplicaReply>;
 
 } // namespace auburnspring
 
--- a/include/auburnspring/peer/peer_mesh.h
+++ b/include/auburnspring/peer/peer_mesh.h
@@ -28,6 +28,9 @@
     /// A connection is replaced after this time, so that one that has gone
     /// silent is not used for long.
     Duration maxConnectionAge = std::chrono::seconds(5);
+    /// False if a new life of a host may bear a lower incarnation than the one
+    /// before, since its wall clock may have been set back.
+    bool incarnationsGrow = true;
   };
 
   struct Counters {
--- a/include/auburnspring/shell/host_shell.h
+++ b/include/auburnspring/shell/host_shell.h
@@ -4,8 +4,8 @@
 #include "auburnspring/config/settings.h"
 #include "auburnspring/decision/entry_host.h"
 #include "auburnspring/peer/peer_mesh.h"
-#include "auburnspring/platform/etcd_store.h"
-#include "auburnspring/platform/key_value_caller.h"
+#include "auburnspring/store/etcd_store.h"
+#include "auburnspring/store/key_value_caller.h"
 #include "auburnspring/shell/caller_desk.h"
 #include "auburnspring/upstream/attempt_runner.h"
 
--- a/include/auburnspring/platform/etcd_store.h
+++ b/include/auburnspring/store/etcd_store.h
@@ -1,10 +1,10 @@
-#ifndef AUBURNSPRING_PLATFORM_ETCD_STORE_H
-#define AUBURNSPRING_PLATFORM_ETCD_STORE_H
+#ifndef AUBURNSPRING_STORE_ETCD_STORE_H
+#define AUBURNSPRING_STORE_ETCD_STORE_H
 
 #include "auburnspring/base/time.h"
 #include "auburnspring/config/settings.h"
 #include "auburnspring/decision/key_value_store.h"
-#include "auburnspring/platform/http_call.h"
+#include "auburnspring/store/http_call.h"
 
 namespace auburnspring {
 
--- a/include/auburnspring/platform/host_list_client.h
+++ b/include/auburnspring/store/host_list_client.h
@@ -1,5 +1,5 @@
-#ifndef AUBURNSPRING_PLATFORM_HOST_LIST_CLIENT_H
-#define AUBURNSPRING_PLATFORM_HOST_LIST_CLIENT_H
+#ifndef AUBURNSPRING_STORE_HOST_LIST_CLIENT_H
+#define AUBURNSPRING_STORE_HOST_LIST_CLIENT_H
 
 #include "auburnspring/config/settings.h"
 #include "auburnspring/decision/upstream_facts.h"
--- a/include/auburnspring/platform/http_call.h
+++ b/include/auburnspring/store/http_call.h
@@ -1,5 +1,5 @@
-#ifndef AUBURNSPRING_PLATFORM_HTTP_CALL_H
-#define AUBURNSPRING_PLATFORM_HTTP_CALL_H
+#ifndef AUBURNSPRING_STORE_HTTP_CALL_H
+#define AUBURNSPRING_STORE_HTTP_CALL_H
 
 #include "auburnspring/base/time.h"
 #include "auburnspring/config/settings.h"
--- a/include/auburnspring/platform/key_value_caller.h
+++ b/include/auburnspring/store/key_value_caller.h
@@ -1,5 +1,5 @@
-#ifndef AUBURNSPRING_PLATFORM_KEY_VALUE_CALLER_H
-#define AUBURNSPRING_PLATFORM_KEY_VALUE_CALLER_H
+#ifndef AUBURNSPRING_STORE_KEY_VALUE_CALLER_H
+#define AUBURNSPRING_STORE_KEY_VALUE_CALLER_H
 
 #include "auburnspring/base/time.h"
 #include "auburnspring/decision/action.h"
--- a/src/auburnspring/base/log.cpp
+++ b/src/auburnspring/base/log.cpp
@@ -17,6 +17,8 @@
 std::mutex hostMutex;
 std::string hostName; // guarded by hostMutex
 
+std::function<void(absl::string_view, std::string)> logSink;
+
 constexpr const char *LevelNames[] = {"debug", "info", "warning", "error"};
 
 bool needsQuotes(const std::string &text) {
@@ -70,6 +72,11 @@
   hostName = std::string(host);
 }
 
+void setLogSink(
+    std::function<void(absl::string_view, std::string)> sink) {
+  logSink = std::move(sink);
+}
+
 bool parseLogLevel(absl::string_view text, LogLevel *level) {
   for (int i = 0; i < 4; ++i) {
     if (text != LevelNames[i])
@@ -104,10 +111,12 @@
                           now.time_since_epoch())
                           .count() %
                       1000;
-  const std::string line =
+  std::string line =
       fmt::format("time={:%Y-%m-%dT%H:%M:%S}.{:03}Z {}\n",
                   fmt::gmtime(std::chrono::system_clock::to_time_t(now)),
                   millis, formatLogLine(level, event, fields));
+  if (logSink)
+    return logSink(event, std::move(line));
   // One write a line keeps lines of several threads apart.
   std::fwrite(line.data(), 1, line.size(), stderr);
 }
--- a/src/auburnspring/ctl/commands.cpp
+++ b/src/auburnspring/ctl/commands.cpp
@@ -2,8 +2,8 @@
 
 #include "auburnspring/base/digest.h"
 #include "auburnspring/decision/ledger_page.h"
-#include "auburnspring/platform/etcd_store.h"
-#include "auburnspring/platform/http_call.h"
+#include "auburnspring/store/etcd_store.h"
+#include "auburnspring/store/http_call.h"
 #include "auburnspring/publishing/publisher.h"
 #include "file_collector.h"
 #include "host_client.h"
--- a/src/auburnspring/ctl/host_client.cpp
+++ b/src/auburnspring/ctl/host_client.cpp
@@ -1,6 +1,6 @@
 #include "host_client.h"
 
-#include "auburnspring/platform/http_call.h"
+#include "auburnspring/store/http_call.h"
 
 #include <absl/strings/str_cat.h>
 
--- /dev/null
+++ b/src/auburnspring/decision/piece_gatherer.cpp
@@ -0,0 +1,453 @@
+#include "auburnspring/decision/piece_gatherer.h"
+
+#include "auburnspring/decision/upstream_health.h"
+#include <algorithm>
+
+namespace auburnspring {
+
+namespace {
+
+/// Weight of the newest call in an upstream's slowness and in the typical size
+/// of a batch.
+constexpr double NewestWeight = 0.5;
+/// A call that takes this many times its expected duration, and a little, is
+/// overdue: its pieces are also given to another upstream.
+constexpr double OverdueFactor = 1.6;
+constexpr Duration OverdueSlack = std::chrono::milliseconds(80);
+/// An upstream that is this many times slower than expected gets work only if
+/// the work can wait for it.
+constexpr double SlowFactor = 1.5;
+/// A slow upstream is tried again after this time.
+constexpr Duration SlowRetryAfter = std::chrono::milliseconds(1500);
+constexpr Duration PauseWhenFull = std::chrono::milliseconds(60);
+constexpr Duration PauseWhenBroken = std::chrono::milliseconds(700);
+/// Failures of its pieces after which a job is given up.
+constexpr std::int64_t MaxJobFailures = 24;
+/// A request that misses its goal is worth this share of its credit.
+constexpr double LateShare = 0.15;
+/// One place of so many in a batch goes to the oldest job.
+constexpr std::size_t PlacesPerOldest = 6;
+/// Share of an upstream's room that results may fill by this host's count.
+constexpr double RoomShare = 0.95;
+
+Duration scaled(Duration span, double factor) {
+  return Duration(
+      static_cast<std::int64_t>(static_cast<double>(span.count()) * factor));
+}
+
+} // namespace
+
+PieceGatherer::JobKey PieceGatherer::keyOf(const PieceJob &job) {
+  return {job.host, {job.requestId, job.stage}};
+}
+
+void PieceGatherer::setUpstreams(std::vector<ServedUpstreamPtr> upstreams) {
+  std::map<std::string, Worker> next;
+  for (ServedUpstreamPtr &upstream : upstreams) {
+    // A new life under an old id holds nothing of before.
+    const std::string key = upstream->entry.id + "/" +
+                            std::to_string(upstream->entry.bornMillis);
+    const auto known = workers_.find(key);
+    Worker &worker = next[key];
+    if (known != workers_.end())
+      worker = std::move(known->second);
+    worker.upstream = std::move(upstream);
+  }
+  // Calls that are under way at an upstream that leaves still end there.
+  for (auto &entry : workers_)
+    if (entry.second.upstream && entry.second.calls > 0 &&
+        next.count(entry.first) == 0)
+      next[entry.first] = std::move(entry.second);
+  workers_ = std::move(next);
+}
+
+void PieceGatherer::submit(PieceJob job, TimePoint now) {
+  const JobKey key = keyOf(job);
+  const auto known = jobs_.find(key);
+  if (known != jobs_.end() && known->second.job.round >= job.round)
+    return;
+  Job entry;
+  entry.since = now;
+  entry.results.resize(job.pieces);
+  for (std::uint32_t piece = 0; piece < job.pieces; ++piece)
+    entry.waiting.push_back(piece);
+  entry.job = std::move(job);
+  jobs_[key] = std::move(entry);
+}
+
+void PieceGatherer::withdraw(const std::string &host,
+                             const std::string &requestId) {
+  const auto from = jobs_.lower_bound({host, {requestId, 0}});
+  auto to = from;
+  while (to != jobs_.end() && to->first.first == host &&
+         to->first.second.first == requestId) {
+    for (const std::string &handle : to->second.results)
+      if (!handle.empty())
+        orphans_.push_back(handle);
+    ++to;
+  }
+  jobs_.erase(from, to);
+}
+
+Duration PieceGatherer::expectedCall(std::size_t pieces) const {
+  return limits_.callTime +
+         limits_.itemTime * static_cast<std::int64_t>(pieces);
+}
+
+std::size_t PieceGatherer::usableWorkers(TimePoint now) const {
+  std::size_t count = 0;
+  for (const auto &entry : workers_)
+    if (entry.second.upstream->takesWork(now) &&
+        entry.second.slowness < SlowFactor)
+      ++count;
+  return std::max<std::size_t>(count, 1);
+}
+
+Duration PieceGatherer::spacing(TimePoint now) const {
+  return expectedCall(static_cast<std::size_t>(typicalBatch_)) /
+         static_cast<std::int64_t>(usableWorkers(now));
+}
+
+bool PieceGatherer::canServe(const Worker &worker, TimePoint now) const {
+  return worker.upstream->takesWork(now) && worker.calls < limits_.slots &&
+         now >= worker.pausedUntil;
+}
+
+PieceGatherer::Worker *PieceGatherer::pickWorker(TimePoint now) {
+  Worker *best = nullptr;
+  for (auto &entry : workers_) {
+    Worker &worker = entry.second;
+    if (!canServe(worker, now))
+      continue;
+    // A slow upstream is only tried again now and then.
+    if (worker.slowness >= SlowFactor &&
+        now < worker.lastCallAt + SlowRetryAfter)
+      continue;
+    if (best == nullptr || worker.heldBytes < best->heldBytes)
+      best = &worker;
+  }
+  return best;
+}
+
+std::vector<PieceGatherer::Job *> PieceGatherer::ranked(TimePoint now) {
+  struct Ranked {
+    Job *job;
+    double rank;
+  };
+  std::vector<Ranked> order;
+  const Duration call = expectedCall(static_cast<std::size_t>(typicalBatch_));
+  for (auto &entry : jobs_) {
+    Job &job = entry.second;
+    if (job.waiting.empty())
+      continue;
+    const bool inTime = now + call <= job.job.goalAt;
+    order.push_back({&job, job.job.density * (inTime ? 1.0 : LateShare)});
+  }
+  std::stable_sort(order.begin(), order.end(),
+                   [](const Ranked &a, const Ranked &b) {
+                     return a.rank != b.rank ? a.rank > b.rank
+                                             : a.job->since < b.job->since;
+                   });
+  std::vector<Job *> jobs;
+  for (const Ranked &entry : order)
+    jobs.push_back(entry.job);
+  return jobs;
+}
+
+void PieceGatherer::takePieces(Job *job, std::size_t room, Worker *worker,
+                               PieceBatch *batch, Call *call, TimePoint now) {
+  const auto bytesAllowed = static_cast<std::int64_t>(
+      static_cast<double>(limits_.roomBytes) * RoomShare);
+  while (!job->waiting.empty() && batch->items.size() < room) {
+    if (limits_.roomBytes > 0 && !batch->items.empty() &&
+        worker->heldBytes + worker->promisedBytes + job->job.resultBytes >
+            bytesAllowed)
+      return;
+    const std::uint32_t piece = job->waiting.back();
+    job->waiting.pop_back();
+    batch->items.push_back({job->job.requestId, job->job.stage, piece,
+                            job->job.deadline - now, job->job.key,
+                            job->job.inputs});
+    call->items.push_back({keyOf(job->job), job->job.round, piece});
+    worker->promisedBytes += job->job.resultBytes;
+  }
+}
+
+PieceBatch PieceGatherer::fill(Worker *worker, std::vector<Job *> order,
+                               TimePoint now) {
+  PieceBatch batch;
+  batch.number = nextBatch_++;
+  batch.upstream = worker->upstream;
+  Call call;
+  call.upstream = worker->upstream->entry.id + "/" +
+                  std::to_string(worker->upstream->entry.bornMillis);
+  call.since = now;
+  // One piece is enough to learn whether a slow upstream has recovered.
+  const auto size = worker->slowness >= SlowFactor
+                        ? std::size_t{1}
+                        : static_cast<std::size_t>(limits_.batch);
+  const std::size_t forOldest = size / PlacesPerOldest;
+  for (Job *job : order)
+    takePieces(job, size - forOldest, worker, &batch, &call, now);
+  std::stable_sort(order.begin(), order.end(), [](const Job *a, const Job *b) {
+    return a->since < b->since;
+  });
+  for (Job *job : order)
+    takePieces(job, size, worker, &batch, &call, now);
+  call.expected = expectedCall(batch.items.size());
+  ++worker->calls;
+  worker->lastCallAt = now;
+  piecesSent_ += batch.items.size();
+  typicalBatch_ += (static_cast<double>(batch.items.size()) - typicalBatch_) *
+                   NewestWeight;
+  calls_[batch.number] = std::move(call);
+  return batch;
+}
+
+void PieceGatherer::dropHopeless(TimePoint now) {
+  std::vector<JobKey> hopeless;
+  for (const auto &entry : jobs_)
+    if (!entry.second.waiting.empty() &&
+        now + limits_.callTime > entry.second.job.deadline)
+      hopeless.push_back(entry.first);
+  for (const JobKey &key : hopeless)
+    finish(key, PieceVerdict::Hopeless);
+}
+
+void PieceGatherer::requeueOverdue(TimePoint now) {
+  for (auto &entry : calls_) {
+    Call &call = entry.second;
+    if (call.overdue ||
+        now < call.since + scaled(call.expected, OverdueFactor) + OverdueSlack)
+      continue;
+    call.overdue = true;
+    const auto worker = workers_.find(call.upstream);
+    if (worker != workers_.end())
+      worker->second.slowness = std::max(worker->second.slowness, SlowFactor);
+    for (const InCall &item : call.items)
+      requeue(item, true);
+  }
+}
+
+std::vector<PieceBatch> PieceGatherer::dispatch(TimePoint now) {
+  std::vector<PieceBatch> batches;
+  dropHopeless(now);
+  requeueOverdue(now);
+  forgetExpired(now);
+  while (true) {
+    const std::size_t waiting = waitingPieces();
+    if (waiting == 0)
+      break;
+    const bool isFull = waiting >= static_cast<std::size_t>(limits_.batch);
+    if (!isFull && now < lastDispatch_ + spacing(now))
+      break;
+    Worker *worker = pickWorker(now);
+    if (worker == nullptr)
+      break;
+    batches.push_back(fill(worker, ranked(now), now));
+    lastDispatch_ = now;
+  }
+  return batches;
+}
+
+void PieceGatherer::requeue(const InCall &item, bool counts) {
+  const auto found = jobs_.find(item.job);
+  if (found == jobs_.end() || found->second.job.round != item.round)
+    return;
+  Job &job = found->second;
+  if (!job.results[item.piece].empty() ||
+      std::find(job.waiting.begin(), job.waiting.end(), item.piece) !=
+          job.waiting.end())
+    return;
+  job.waiting.push_back(item.piece);
+  if (counts && ++job.failures > MaxJobFailures)
+    finish(item.job, PieceVerdict::Failed);
+}
+
+void PieceGatherer::onBatchEnd(std::uint64_t number, BatchEnd end,
+                               const std::vector<PieceResult> &results,
+                               TimePoint now) {
+  const auto found = calls_.find(number);
+  if (found == calls_.end())
+    return;
+  const Call call = std::move(found->second);
+  calls_.erase(found);
+  const auto at = workers_.find(call.upstream);
+  Worker *worker = at == workers_.end() ? nullptr : &at->second;
+  if (worker != nullptr) {
+    --worker->calls;
+    for (const InCall &item : call.items) {
+      const auto job = jobs_.find(item.job);
+      if (job != jobs_.end())
+        worker->promisedBytes -= job->second.job.resultBytes;
+    }
+    if (worker->calls == 0)
+      worker->promisedBytes = 0;
+  }
+  if (end == BatchEnd::Answered && results.size() == call.items.size()) {
+    if (worker != nullptr) {
+      const double ratio =
+          toMillis(now - call.since) / toMillis(call.expected);
+      worker->slowness += (ratio - worker->slowness) * NewestWeight;
+      noteAnswered(worker->upstream.get(), now - call.since, now);
+    }
+    for (std::size_t i = 0; i < results.size(); ++i)
+      onPiece(call.items[i], results[i], worker, now);
+    return;
+  }
+  if (worker != nullptr) {
+    worker->pausedUntil =
+        now + (end == BatchEnd::NotRun ? PauseWhenFull : PauseWhenBroken);
+    if (end == BatchEnd::Broken)
+      noteFailed(worker->upstream.get(), now);
+  }
+  for (const InCall &item : call.items)
+    requeue(item, end == BatchEnd::Broken && !call.overdue);
+}
+
+void PieceGatherer::onPiece(const InCall &item, const PieceResult &result,
+                            Worker *worker, TimePoint now) {
+  switch (result.kind) {
+  case PieceResult::Kind::Result:
+    return keepResult(item, result.handle, worker, now);
+  case PieceResult::Kind::Late: {
+    const auto job = jobs_.find(item.job);
+    if (job != jobs_.end() && job->second.job.round == item.round)
+      finish(item.job, PieceVerdict::Hopeless);
+    return;
+  }
+  case PieceResult::Kind::InputsGone: {
+    const auto job = jobs_.find(item.job);
+    if (job != jobs_.end() && job->second.job.round == item.round)
+      finish(item.job, PieceVerdict::InputsGone);
+    return;
+  }
+  case PieceResult::Kind::NoRoom:
+    if (worker != nullptr)
+      worker->pausedUntil = std::max(worker->pausedUntil,
+                                     worker->lastCallAt + limits_.callTime +
+                                         limits_.callTime);
+    return requeue(item, true);
+  case PieceResult::Kind::Error:
+    return requeue(item, true);
+  }
+}
+
+void PieceGatherer::keepResult(const InCall &item, const std::string &handle,
+                               Worker *worker, TimePoint now) {
+  const auto found = jobs_.find(item.job);
+  if (found == jobs_.end() || found->second.job.round != item.round ||
+      !found->second.results[item.piece].empty()) {
+    orphans_.push_back(handle);
+    return;
+  }
+  Job &job = found->second;
+  if (worker != nullptr) {
+    worker->held[handle] = {job.job.resultBytes, now};
+    worker->heldBytes += job.job.resultBytes;
+  }
+  job.results[item.piece] = handle;
+  job.waiting.erase(
+      std::remove(job.waiting.begin(), job.waiting.end(), item.piece),
+      job.waiting.end());
+  const bool isWhole =
+      std::all_of(job.results.begin(), job.results.end(),
+                  [](const std::string &result) { return !result.empty(); });
+  if (isWhole)
+    finish(item.job, PieceVerdict::Done);
+}
+
+void PieceGatherer::finish(const JobKey &key, PieceVerdict verdict) {
+  const auto found = jobs_.find(key);
+  if (found == jobs_.end())
+    return;
+  Job job = std::move(found->second);
+  jobs_.erase(found);
+  PieceOutcome outcome{job.job.host,  job.job.requestId, job.job.stage,
+                       job.job.round, verdict,           {}};
+  if (verdict == PieceVerdict::Done)
+    outcome.results = std::move(job.results);
+  else
+    for (std::string &handle : job.results)
+      if (!handle.empty())
+        orphans_.push_back(std::move(handle));
+  outcomes_.push_back(std::move(outcome));
+}
+
+void PieceGatherer::forgetExpired(TimePoint now) {
+  for (auto &entry : workers_) {
+    Worker &worker = entry.second;
+    for (auto it = worker.held.begin(); it != worker.held.end();) {
+      if (now < it->second.since + limits_.resultLife) {
+        ++it;
+        continue;
+      }
+      worker.heldBytes -= it->second.bytes;
+      it = worker.held.erase(it);
+    }
+  }
+}
+
+void PieceGatherer::release(const std::vector<std::string> &handles) {
+  for (auto &entry : workers_)
+    for (const std::string &handle : handles) {
+      const auto held = entry.second.held.find(handle);
+      if (held == entry.second.held.end())
+        continue;
+      entry.second.heldBytes -= held->second.bytes;
+      entry.second.held.erase(held);
+    }
+}
+
+std::vector<PieceOutcome> PieceGatherer::takeOutcomes() {
+  return std::exchange(outcomes_, {});
+}
+
+std::vector<std::string> PieceGatherer::takeOrphans() {
+  std::vector<std::string> orphans = std::exchange(orphans_, {});
+  release(orphans);
+  return orphans;
+}
+
+std::optional<TimePoint> PieceGatherer::nextWake(TimePoint now) const {
+  std::optional<TimePoint> wake;
+  const auto consider = [&](TimePoint at) {
+    if (!wake || at < *wake)
+      wake = at;
+  };
+  for (const auto &entry : calls_)
+    if (!entry.second.overdue)
+      consider(entry.second.since +
+               scaled(entry.second.expected, OverdueFactor) + OverdueSlack);
+  bool waits = false;
+  for (const auto &entry : jobs_)
+    if (!entry.second.waiting.empty()) {
+      waits = true;
+      consider(entry.second.job.deadline - limits_.callTime);
+    }
+  if (waits) {
+    const TimePoint due = lastDispatch_ + spacing(now);
+    if (due > now)
+      consider(due);
+    // An upstream may be paused, ejected or about to be tried again.
+    consider(now + PauseWhenFull);
+  }
+  return wake;
+}
+
+Duration PieceGatherer::backlog(TimePoint now) const {
+  const auto batch = static_cast<std::size_t>(limits_.batch);
+  const auto calls =
+      static_cast<std::int64_t>((waitingPieces() + batch) / batch);
+  return expectedCall(batch) * calls /
+         static_cast<std::int64_t>(usableWorkers(now));
+}
+
+std::size_t PieceGatherer::waitingPieces() const {
+  std::size_t count = 0;
+  for (const auto &entry : jobs_)
+    count += entry.second.waiting.size();
+  return count;
+}
+
+} // namespace auburnspring
--- /dev/null
+++ b/src/auburnspring/decision/stage_plan.cpp
@@ -0,0 +1,155 @@
+#include "auburnspring/decision/stage_plan.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace auburnspring {
+
+StagePlan::StagePlan(std::vector<PieceStage> stages,
+                     std::vector<std::uint32_t> pieces)
+    : stages_(std::move(stages)), states_(stages_.size()) {
+  for (std::size_t i = 0; i < stages_.size(); ++i)
+    states_[i].pieces = i < pieces.size() ? pieces[i] : 0;
+  passEmpty();
+}
+
+void StagePlan::passEmpty() {
+  for (State &state : states_)
+    if (state.pieces == 0)
+      state.begun = state.done = true;
+}
+
+std::vector<std::uint32_t> StagePlan::takeReady() {
+  std::vector<std::uint32_t> ready;
+  for (std::uint32_t i = 0; i < stages_.size(); ++i) {
+    if (states_[i].begun)
+      continue;
+    const bool canBegin = std::all_of(
+        stages_[i].after.begin(), stages_[i].after.end(),
+        [this](std::uint32_t before) { return states_[before].done; });
+    if (!canBegin)
+      continue;
+    states_[i].begun = true;
+    ready.push_back(i);
+  }
+  return ready;
+}
+
+std::vector<std::string> StagePlan::inputsOf(std::uint32_t stage) const {
+  std::vector<std::string> inputs;
+  for (const std::uint32_t before : stages_[stage].after)
+    inputs.insert(inputs.end(), states_[before].results.begin(),
+                  states_[before].results.end());
+  return inputs;
+}
+
+bool StagePlan::isFinal(std::uint32_t stage) const {
+  return std::none_of(stages_.begin(), stages_.end(),
+                      [stage](const PieceStage &later) {
+                        return std::find(later.after.begin(), later.after.end(),
+                                         stage) != later.after.end();
+                      });
+}
+
+std::vector<std::string> StagePlan::onDone(std::uint32_t stage,
+                                           std::uint32_t round,
+                                           std::vector<std::string> results) {
+  if (stage >= states_.size() || states_[stage].round != round ||
+      states_[stage].done)
+    return results;
+  states_[stage].done = true;
+  states_[stage].results = std::move(results);
+  std::vector<std::string> unneeded;
+  for (const std::uint32_t before : stages_[stage].after) {
+    if (isFinal(before) || states_[before].released)
+      continue;
+    const bool isNeeded =
+        std::any_of(stages_.begin(), stages_.end(), [&](const PieceStage &s) {
+          const auto i = static_cast<std::size_t>(&s - stages_.data());
+          return !states_[i].done &&
+                 std::find(s.after.begin(), s.after.end(), before) !=
+                     s.after.end();
+        });
+    if (isNeeded)
+      continue;
+    states_[before].released = true;
+    std::vector<std::string> freed = std::move(states_[before].results);
+    states_[before].results.clear();
+    unneeded.insert(unneeded.end(), freed.begin(), freed.end());
+  }
+  return unneeded;
+}
+
+bool StagePlan::restartStage(std::uint32_t stage) {
+  State &state = states_[stage];
+  if (state.pieces == 0 || !state.done)
+    return true;
+  if (++state.round >= MaxRounds)
+    return false;
+  state.begun = state.done = state.released = false;
+  state.results.clear();
+  for (const std::uint32_t before : stages_[stage].after)
+    if (states_[before].released && !restartStage(before))
+      return false;
+  return true;
+}
+
+bool StagePlan::onInputsGone(std::uint32_t stage, std::uint32_t round) {
+  if (stage >= states_.size() || states_[stage].round != round ||
+      states_[stage].done)
+    return true;
+  if (++states_[stage].round >= MaxRounds)
+    return false;
+  states_[stage].begun = false;
+  return std::all_of(
+      stages_[stage].after.begin(), stages_[stage].after.end(),
+      [this](std::uint32_t before) { return restartStage(before); });
+}
+
+bool StagePlan::restart() {
+  for (std::uint32_t i = 0; i < stages_.size(); ++i)
+    if (isFinal(i) && !restartStage(i))
+      return false;
+  return true;
+}
+
+bool StagePlan::isDone() const {
+  return std::all_of(states_.begin(), states_.end(),
+                     [](const State &state) { return state.done; });
+}
+
+std::vector<std::string> StagePlan::finalInputs() const {
+  std::vector<std::string> inputs;
+  for (std::uint32_t i = 0; i < stages_.size(); ++i)
+    if (isFinal(i))
+      inputs.insert(inputs.end(), states_[i].results.begin(),
+                    states_[i].results.end());
+  return inputs;
+}
+
+std::vector<std::string> StagePlan::takeHeld() {
+  std::vector<std::string> held;
+  for (State &state : states_) {
+    held.insert(held.end(), state.results.begin(), state.results.end());
+    if (state.done && state.pieces > 0)
+      state.released = true;
+    state.results.clear();
+  }
+  return held;
+}
+
+std::uint32_t StagePlan::pieces(std::uint32_t stage) const {
+  return states_[stage].pieces;
+}
+
+std::uint32_t StagePlan::chainFrom(std::uint32_t stage) const {
+  std::uint32_t longest = 0;
+  for (std::uint32_t i = 0; i < stages_.size(); ++i)
+    if (states_[i].pieces > 0 &&
+        std::find(stages_[i].after.begin(), stages_[i].after.end(), stage) !=
+            stages_[i].after.end())
+      longest = std::max(longest, chainFrom(i));
+  return longest + 1;
+}
+
+} // namespace auburnspring
--- /dev/null
+++ b/src/auburnspring/http/client_call.cpp
@@ -0,0 +1,211 @@
+#include "auburnspring/http/client_call.h"
+
+#include "auburnspring/http/message_reader.h"
+
+#include <asio/connect.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
+#include <asio/write.hpp>
+
+#include <netinet/tcp.h>
+
+#include <array>
+
+namespace auburnspring::http {
+
+namespace {
+
+/// An upstream that acknowledges nothing for this long is gone; the kernel then
+/// ends the connection. Two round trips of a lossy link fit in several times.
+constexpr int UnacknowledgedMillis = 2500;
+constexpr int KeepAliveIdleSeconds = 1;
+constexpr int KeepAliveIntervalSeconds = 1;
+constexpr int KeepAliveProbes = 2;
+
+void setOption(asio::ip::tcp::socket &socket, int level, int name, int value) {
+  // An option that can't be set leaves the system's default, which is safe.
+  setsockopt(socket.native_handle(), level, name, &value, sizeof(value));
+}
+
+void setLiveness(asio::ip::tcp::socket &socket) {
+  setOption(socket, SOL_SOCKET, SO_KEEPALIVE, 1);
+  setOption(socket, IPPROTO_TCP, TCP_KEEPIDLE, KeepAliveIdleSeconds);
+  setOption(socket, IPPROTO_TCP, TCP_KEEPINTVL, KeepAliveIntervalSeconds);
+  setOption(socket, IPPROTO_TCP, TCP_KEEPCNT, KeepAliveProbes);
+  setOption(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, UnacknowledgedMillis);
+}
+
+} // namespace
+
+class ClientCall::Impl : public std::enable_shared_from_this<Impl> {
+public:
+  Impl(asio::io_context &io, CallOptions options, CallEvents events)
+      : socket_(io), timer_(io), options_(std::move(options)),
+        events_(std::move(events)),
+        reader_(MessageKind::Response, options_.maxHeadBytes,
+                {[this] { onHead(); },
+                 [this](std::string_view bytes) { onBody(bytes); },
+                 [this] { onMessage(); }}) {}
+
+  void start(const RequestHead &head, std::string_view body);
+  void cancel();
+  bool mayBeSent() const { return mayBeSent_; }
+
+private:
+  void onConnected();
+  void read();
+  void onRead(std::size_t bytes);
+  void onHead();
+  void onBody(std::string_view bytes);
+  void onMessage();
+  void end(CallEnd how, std::string_view why);
+  void closeSocket();
+
+  asio::ip::tcp::socket socket_;
+  asio::steady_timer timer_;
+  CallOptions options_;
+  CallEvents events_;
+  MessageReader reader_;
+  std::string outgoing_;
+  std::array<char, 16 << 10> buffer_{};
+  bool mayBeSent_ = false;
+  bool skipping_ = false;
+  bool ended_ = false;
+};
+
+void ClientCall::Impl::start(const RequestHead &head, std::string_view body) {
+  outgoing_ = encodeHead(head);
+  outgoing_.append(body);
+  asio::error_code error;
+  const asio::ip::tcp::endpoint address(
+      asio::ip::make_address(options_.endpoint.ip, error),
+      options_.endpoint.port);
+  if (!error)
+    socket_.open(address.protocol(), error);
+  if (error) {
+    // Reported from the loop, so that no event comes before start() returns.
+    timer_.expires_after(std::chrono::seconds(0));
+    timer_.async_wait([self = shared_from_this(),
+                       text = error.message()](asio::error_code stopped) {
+      if (!stopped)
+        self->end(CallEnd::NotSent, text);
+    });
+    return;
+  }
+  setLiveness(socket_);
+  asio::error_code ignored;
+  socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+  timer_.expires_after(options_.connectTimeout);
+  timer_.async_wait([self = shared_from_this()](asio::error_code stopped) {
+    if (!stopped && !self->mayBeSent_)
+      self->end(CallEnd::NotSent, "connect timeout");
+  });
+  socket_.async_connect(address, [self = shared_from_this()](
+                                     asio::error_code failed) {
+    if (self->ended_)
+      return;
+    if (failed)
+      return self->end(CallEnd::NotSent, failed.message());
+    self->onConnected();
+  });
+}
+
+void ClientCall::Impl::onConnected() {
+  timer_.cancel();
+  mayBeSent_ = true;
+  read();
+  asio::async_write(
+      socket_, asio::buffer(outgoing_),
+      [self = shared_from_this()](asio::error_code error, std::size_t written) {
+        if (self->ended_ || !error)
+          return;
+        // With nothing handed to the kernel nothing has left.
+        self->end(written == 0 ? CallEnd::NotSent : CallEnd::Broken,
+                  error.message());
+      });
+}
+
+void ClientCall::Impl::read() {
+  socket_.async_read_some(
+      asio::buffer(buffer_),
+      [self = shared_from_this()](asio::error_code error, std::size_t bytes) {
+        if (self->ended_)
+          return;
+        if (error == asio::error::eof && self->reader_.isInMessage() &&
+            self->reader_.finish().ok())
+          return;
+        if (self->ended_)
+          return;
+        if (error)
+          return self->end(CallEnd::Broken, error.message());
+        self->onRead(bytes);
+      });
+}
+
+void ClientCall::Impl::onRead(std::size_t bytes) {
+  std::string_view rest(buffer_.data(), bytes);
+  while (!rest.empty() && !ended_) {
+    const absl::StatusOr<std::size_t> used = reader_.feed(rest);
+    if (ended_)
+      return;
+    if (!used.ok())
+      return end(CallEnd::Broken, std::string(used.status().message()));
+    rest.remove_prefix(*used);
+  }
+  if (!ended_)
+    read();
+}
+
+void ClientCall::Impl::onHead() {
+  ResponseHead head{reader_.status(), reader_.headers()};
+  skipping_ = head.status / 100 == 1 ||
+              (options_.isMine && !options_.isMine(head));
+  if (!skipping_ && events_.onHead)
+    events_.onHead(std::move(head));
+}
+
+void ClientCall::Impl::onBody(std::string_view bytes) {
+  if (!ended_ && !skipping_ && events_.onBody)
+    events_.onBody(bytes);
+}
+
+void ClientCall::Impl::onMessage() {
+  if (!ended_ && !skipping_)
+    end(CallEnd::Complete, "");
+}
+
+void ClientCall::Impl::end(CallEnd how, std::string_view why) {
+  if (ended_)
+    return;
+  // Kept alive past the callback, which may drop the call.
+  const std::shared_ptr<Impl> self = shared_from_this();
+  ended_ = true;
+  closeSocket();
+  const auto onEnd = std::move(events_.onEnd);
+  if (onEnd)
+    onEnd(how, why);
+}
+
+void ClientCall::Impl::cancel() {
+  ended_ = true;
+  closeSocket();
+}
+
+void ClientCall::Impl::closeSocket() {
+  timer_.cancel();
+  asio::error_code ignored;
+  socket_.close(ignored);
+}
+
+ClientCall::ClientCall(asio::io_context &io, CallOptions options,
+                       CallEvents events)
+    : impl_(std::make_shared<Impl>(io, std::move(options),
+                                   std::move(events))) {}
+ClientCall::~ClientCall() { impl_->cancel(); }
+void ClientCall::start(const RequestHead &head, std::string_view body) {
+  impl_->start(head, body);
+}
+void ClientCall::cancel() { impl_->cancel(); }
+bool ClientCall::mayBeSent() const { return impl_->mayBeSent(); }
+
+} // namespace auburnspring::http
--- /dev/null
+++ b/src/auburnspring/http/message_reader.cpp
@@ -0,0 +1,193 @@
+#include "auburnspring/http/message_reader.h"
+
+#include <absl/strings/str_cat.h>
+#include <http_parser.h>
+
+#include <cstdint>
+#include <limits>
+
+namespace auburnspring::http {
+
+struct MessageReader::Impl {
+  http_parser parser{};
+  http_parser_settings settings{};
+  Callbacks callbacks;
+  std::size_t maxHeadBytes = 0;
+  std::size_t headBytes = 0;
+  bool headTooLarge = false;
+  bool inMessage = false;
+  bool headWhole = false;
+  bool keepAlive = false;
+  bool messageEnded = false;
+  bool lastWasValue = false;
+  std::string target;
+  HeaderList headers;
+
+  static Impl &of(http_parser *parser) {
+    return *static_cast<Impl *>(parser->data);
+  }
+
+  bool count(std::size_t bytes) {
+    headBytes += bytes;
+    headTooLarge = headTooLarge || headBytes > maxHeadBytes;
+    return !headTooLarge;
+  }
+
+  static int onBegin(http_parser *parser);
+  static int onUrl(http_parser *parser, const char *at, std::size_t length);
+  static int onField(http_parser *parser, const char *at, std::size_t length);
+  static int onValue(http_parser *parser, const char *at, std::size_t length);
+  static int onHeadersComplete(http_parser *parser);
+  static int onBody(http_parser *parser, const char *at, std::size_t length);
+  static int onMessageComplete(http_parser *parser);
+};
+
+int MessageReader::Impl::onBegin(http_parser *parser) {
+  Impl &self = of(parser);
+  self.inMessage = true;
+  self.headWhole = false;
+  self.headBytes = 0;
+  self.lastWasValue = false;
+  self.target.clear();
+  self.headers = HeaderList();
+  return 0;
+}
+
+int MessageReader::Impl::onUrl(http_parser *parser, const char *at,
+                               std::size_t length) {
+  Impl &self = of(parser);
+  self.target.append(at, length);
+  return self.count(length) ? 0 : 1;
+}
+
+int MessageReader::Impl::onField(http_parser *parser, const char *at,
+                                 std::size_t length) {
+  Impl &self = of(parser);
+  // Trailers follow the body and are of no use here.
+  if (self.headWhole)
+    return 0;
+  auto &fields = self.headers.all();
+  if (self.lastWasValue || fields.empty())
+    fields.emplace_back();
+  self.lastWasValue = false;
+  fields.back().name.append(at, length);
+  return self.count(length + 4) ? 0 : 1;
+}
+
+int MessageReader::Impl::onValue(http_parser *parser, const char *at,
+                                 std::size_t length) {
+  Impl &self = of(parser);
+  if (self.headWhole)
+    return 0;
+  self.lastWasValue = true;
+  self.headers.all().back().value.append(at, length);
+  return self.count(length) ? 0 : 1;
+}
+
+int MessageReader::Impl::onHeadersComplete(http_parser *parser) {
+  Impl &self = of(parser);
+  self.headWhole = true;
+  // An offer to change the protocol is declined by going on in HTTP/1.1.
+  parser->upgrade = 0;
+  self.keepAlive = http_should_keep_alive(parser) != 0;
+  if (self.callbacks.onHead)
+    self.callbacks.onHead();
+  return 0;
+}
+
+int MessageReader::Impl::onBody(http_parser *parser, const char *at,
+                                std::size_t length) {
+  Impl &self = of(parser);
+  if (self.callbacks.onBody)
+    self.callbacks.onBody(std::string_view(at, length));
+  return 0;
+}
+
+int MessageReader::Impl::onMessageComplete(http_parser *parser) {
+  Impl &self = of(parser);
+  self.inMessage = false;
+  self.messageEnded = true;
+  self.keepAlive = http_should_keep_alive(parser) != 0;
+  http_parser_pause(parser, 1);
+  return 0;
+}
+
+MessageReader::MessageReader(MessageKind kind, std::size_t maxHeadBytes,
+                             Callbacks callbacks)
+    : impl_(std::make_unique<Impl>()) {
+  http_parser_init(&impl_->parser,
+                   kind == MessageKind::Request ? HTTP_REQUEST : HTTP_RESPONSE);
+  impl_->parser.data = impl_.get();
+  impl_->callbacks = std::move(callbacks);
+  impl_->maxHeadBytes = maxHeadBytes;
+  http_parser_settings &settings = impl_->settings;
+  settings.on_message_begin = Impl::onBegin;
+  settings.on_url = Impl::onUrl;
+  settings.on_header_field = Impl::onField;
+  settings.on_header_value = Impl::onValue;
+  settings.on_headers_complete = Impl::onHeadersComplete;
+  settings.on_body = Impl::onBody;
+  settings.on_message_complete = Impl::onMessageComplete;
+}
+
+MessageReader::~MessageReader() = default;
+
+absl::StatusOr<std::size_t> MessageReader::feed(std::string_view bytes) {
+  impl_->messageEnded = false;
+  const std::size_t used = http_parser_execute(&impl_->parser, &impl_->settings,
+                                         bytes.data(), bytes.size());
+  if (impl_->messageEnded) {
+    http_parser_pause(&impl_->parser, 0);
+    if (impl_->callbacks.onMessage)
+      impl_->callbacks.onMessage();
+    return used;
+  }
+  const http_errno error = HTTP_PARSER_ERRNO(&impl_->parser);
+  if (error != HPE_OK)
+    return absl::InvalidArgumentError(
+        absl::StrCat("malformed message: ", http_errno_description(error)));
+  return used;
+}
+
+absl::Status MessageReader::finish() {
+  if (!impl_->inMessage)
+    return absl::OkStatus();
+  if (!endsWithStream())
+    return absl::DataLossError("the stream ended inside a message");
+  impl_->messageEnded = false;
+  http_parser_execute(&impl_->parser, &impl_->settings, nullptr, 0);
+  if (!impl_->messageEnded)
+    return absl::DataLossError("the stream ended inside a message");
+  if (impl_->callbacks.onMessage)
+    impl_->callbacks.onMessage();
+  return absl::OkStatus();
+}
+
+bool MessageReader::isInMessage() const { return impl_->inMessage; }
+bool MessageReader::hasHead() const { return impl_->headWhole; }
+bool MessageReader::keepsAlive() const { return impl_->keepAlive; }
+bool MessageReader::isHeadTooLarge() const { return impl_->headTooLarge; }
+int MessageReader::status() const { return impl_->parser.status_code; }
+const HeaderList &MessageReader::headers() const { return impl_->headers; }
+
+bool MessageReader::endsWithStream() const {
+  const http_parser &parser = impl_->parser;
+  const unsigned status = parser.status_code;
+  const bool hasBody = parser.type == HTTP_RESPONSE && status / 100 != 1 &&
+                       status != HTTP_STATUS_NO_CONTENT &&
+                       status != HTTP_STATUS_NOT_MODIFIED;
+  return impl_->headWhole && hasBody && (parser.flags & F_CHUNKED) == 0 &&
+         parser.content_length == std::numeric_limits<std::uint64_t>::max();
+}
+
+RequestHead MessageReader::takeRequest() {
+  return {http_method_str(static_cast<http_method>(impl_->parser.method)),
+          std::move(impl_->target), std::move(impl_->headers)};
+}
+
+ResponseHead MessageReader::takeResponse() {
+  return {static_cast<int>(impl_->parser.status_code),
+          std::move(impl_->headers)};
+}
+
+} // namespace auburnspring::http
--- /dev/null
+++ b/src/auburnspring/http/server.cpp
@@ -0,0 +1,86 @@
+#include "auburnspring/http/server.h"
+
+#include "auburnspring/base/log.h"
+#include "server_connection.h"
+
+#include <asio/post.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <vector>
+
+namespace auburnspring::http {
+
+namespace {
+
+/// Waits this long before it accepts again when descriptors have run out.
+constexpr std::chrono::milliseconds AcceptPause(50);
+constexpr int Backlog = 1024;
+
+} // namespace
+
+Server::Server(asio::io_context &io, Handler handler)
+    : io_(io), acceptor_(io), handler_(std::move(handler)) {}
+
+Server::~Server() = default;
+
+absl::Status Server::listen(const Endpoint &endpoint) {
+  asio::error_code error;
+  const asio::ip::tcp::endpoint address(
+      asio::ip::make_address(endpoint.ip, error), endpoint.port);
+  if (!error)
+    acceptor_.open(address.protocol(), error);
+  if (!error)
+    acceptor_.set_option(asio::socket_base::reuse_address(true), error);
+  if (!error)
+    acceptor_.bind(address, error);
+  if (!error)
+    acceptor_.listen(Backlog, error);
+  if (error)
+    return absl::UnavailableError("can't listen on " + toString(endpoint) +
+                                  ": " + error.message());
+  accept();
+  return absl::OkStatus();
+}
+
+void Server::accept() {
+  acceptor_.async_accept(
+      [this](asio::error_code error, asio::ip::tcp::socket socket) {
+        if (error == asio::error::operation_aborted)
+          return;
+        if (error) {
+          logEvent(LogLevel::Warning, "accept_failed",
+                   {{"error", error.message()}});
+          auto pause = std::make_shared<asio::steady_timer>(io_, AcceptPause);
+          pause->async_wait([this, pause](asio::error_code) { accept(); });
+          return;
+        }
+        auto connection =
+            std::make_shared<ServerConnection>(this, std::move(socket));
+        connections_.insert(connection);
+        connection->start();
+        if (draining_)
+          connection->closeWhenIdle(linger_);
+        accept();
+      });
+}
+
+void Server::remove(ServerConnection *connection) {
+  connections_.erase(connection->shared_from_this());
+}
+
+void Server::drain(Duration linger) {
+  draining_ = true;
+  linger_ = linger;
+  const std::vector<std::shared_ptr<ServerConnection>> open(
+      connections_.begin(), connections_.end());
+  for (const auto &connection : open)
+    connection->closeWhenIdle(linger);
+}
+
+void Server::close() {
+  asio::error_code ignored;
+  acceptor_.close(ignored);
+  drain(Duration(0));
+}
+
+} // namespace auburnspring::http
--- /dev/null
+++ b/src/auburnspring/http/server_connection.cpp
@@ -0,0 +1,266 @@
+#include "server_connection.h"
+
+#include "auburnspring/base/clock.h"
+
+#include <asio/write.hpp>
+
+namespace auburnspring::http {
+
+namespace {
+
+/// A caller that sends further requests ahead is read this far, in bytes.
+constexpr std::size_t MaxReadAhead = 64 << 10;
+/// How long what a caller still sends is read and dropped after the last
+/// answer; closing at once would reset the connection and lose that answer.
+constexpr std::chrono::milliseconds CloseLinger(500);
+constexpr std::string_view ContinueLine = "HTTP/1.1 100 Continue\r\n\r\n";
+
+} // namespace
+
+ServerConnection::ServerConnection(Server *server, asio::ip::tcp::socket socket)
+    : server_(server), socket_(std::move(socket)),
+      timer_(socket_.get_executor()),
+      reader_(MessageKind::Request, server->limits().maxHeadBytes,
+              {[this] { onHead(); },
+               [this](std::string_view bytes) {
+                 if (body_.size() + bytes.size() >
+                     server_->limits().maxBodyBytes)
+                   bodyTooLarge_ = true;
+                 else
+                   body_.append(bytes);
+               },
+               [this] { onRequest(); }}) {}
+
+void ServerConnection::start() {
+  asio::error_code ignored;
+  socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+  armTimer(server_->limits().idleTimeout);
+  read();
+}
+
+void ServerConnection::close() {
+  if (closed_)
+    return;
+  closed_ = true;
+  timer_.cancel();
+  asio::error_code ignored;
+  socket_.close(ignored);
+  callerGone();
+  server_->remove(this);
+}
+
+void ServerConnection::callerGone() {
+  const std::shared_ptr<Exchange> exchange = std::move(exchange_);
+  if (!exchange || exchange->gone_)
+    return;
+  exchange->gone_ = true;
+  if (exchange->onGone)
+    exchange->onGone();
+}
+
+void ServerConnection::closeWhenIdle(Duration linger) {
+  closeAfterAnswer_ = true;
+  if (!exchange_ && !reader_.isInMessage() && unread_.empty())
+    armTimer(linger);
+}
+
+void ServerConnection::read() {
+  if (reading_ || closed_ || unread_.size() >= MaxReadAhead)
+    return;
+  reading_ = true;
+  socket_.async_read_some(
+      asio::buffer(buffer_),
+      [self = shared_from_this()](asio::error_code error, std::size_t bytes) {
+        self->reading_ = false;
+        if (self->closed_)
+          return;
+        if (error)
+          return self->close();
+        self->onRead(bytes);
+      });
+}
+
+void ServerConnection::onRead(std::size_t bytes) {
+  if (lingering_)
+    return read();
+  unread_.append(buffer_.data(), bytes);
+  parse();
+  read();
+}
+
+void ServerConnection::parse() {
+  while (!closed_ && !lingering_ && !exchange_ && !unread_.empty()) {
+    if (!reader_.isInMessage()) {
+      receivedAt_ = steadyNow();
+      armTimer(server_->limits().headTimeout);
+    }
+    const std::string bytes = std::move(unread_);
+    unread_.clear();
+    const absl::StatusOr<std::size_t> used = reader_.feed(bytes);
+    if (!used.ok())
+      return refuse(reader_.isHeadTooLarge() ? 431 : 400);
+    if (bodyTooLarge_)
+      return refuse(413);
+    unread_.insert(0, bytes, *used, std::string::npos);
+    if (*used == 0)
+      return;
+  }
+}
+
+void ServerConnection::onHead() {
+  armTimer(server_->limits().headTimeout);
+  const std::string *expect = reader_.headers().find("Expect");
+  if (expect == nullptr || !equalsIgnoringCase(*expect, "100-continue"))
+    return;
+  outgoing_.append(ContinueLine);
+  write();
+}
+
+void ServerConnection::onRequest() {
+  timer_.cancel();
+  if (!reader_.keepsAlive())
+    closeAfterAnswer_ = true;
+  answerEnded_ = false;
+  exchange_ = std::make_shared<Exchange>(weak_from_this());
+  exchange_->head = reader_.takeRequest();
+  exchange_->body = std::move(body_);
+  exchange_->receivedAt = receivedAt_;
+  headOnly_ = exchange_->head.method == "HEAD";
+  body_.clear();
+  server_->handler_(exchange_);
+}
+
+void ServerConnection::refuse(int status) {
+  closeAfterAnswer_ = true;
+  exchange_ = std::make_shared<Exchange>(weak_from_this());
+  unread_.clear();
+  exchange_->respond({status, {}}, "");
+}
+
+void ServerConnection::writeHead(ResponseHead response, bool chunked) {
+  chunked_ = chunked;
+  if (server_->isDraining())
+    closeAfterAnswer_ = true;
+  if (chunked)
+    response.headers.add("Transfer-Encoding", "chunked");
+  if (closeAfterAnswer_)
+    response.headers.add("Connection", "close");
+  outgoing_.append(encodeHead(response));
+  write();
+}
+
+void ServerConnection::writeBody(std::string_view bytes) {
+  if (bytes.empty() || headOnly_)
+    return;
+  if (chunked_)
+    outgoing_.append(encodeChunk(bytes));
+  else
+    outgoing_.append(bytes);
+  write();
+}
+
+void ServerConnection::finishAnswer() {
+  if (chunked_ && !headOnly_)
+    outgoing_.append(FinalChunk);
+  answerEnded_ = true;
+  exchange_.reset();
+  write();
+}
+
+void ServerConnection::write() {
+  if (inFlight_ > 0 || outgoing_.empty() || closed_)
+    return;
+  writing_ = std::move(outgoing_);
+  outgoing_.clear();
+  inFlight_ = writing_.size();
+  asio::async_write(
+      socket_, asio::buffer(writing_),
+      [self = shared_from_this()](asio::error_code error, std::size_t) {
+        self->inFlight_ = 0;
+        if (self->closed_)
+          return;
+        if (error)
+          return self->close();
+        self->onWritten();
+      });
+}
+
+void ServerConnection::onWritten() {
+  if (!outgoing_.empty())
+    return write();
+  if (!answerEnded_ || exchange_)
+    return;
+  answerEnded_ = false;
+  if (closeAfterAnswer_) {
+    asio::error_code ignored;
+    socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    lingering_ = true;
+    unread_.clear();
+    armTimer(CloseLinger);
+    return read();
+  }
+  armTimer(server_->limits().idleTimeout);
+  parse();
+  read();
+}
+
+void ServerConnection::armTimer(Duration span) {
+  timer_.expires_after(span);
+  timer_.async_wait([self = shared_from_this()](asio::error_code error) {
+    if (!error && !self->closed_)
+      self->onTimer();
+  });
+}
+
+void ServerConnection::onTimer() {
+  if (exchange_)
+    return;
+  if (lingering_ || !reader_.isInMessage())
+    return close();
+  refuse(408);
+}
+
+// Exchange
+
+void Exchange::respond(ResponseHead response, std::string_view content) {
+  const std::shared_ptr<ServerConnection> connection = connection_.lock();
+  if (!connection || gone_)
+    return;
+  response.headers.set("Content-Length", std::to_string(content.size()));
+  connection->writeHead(std::move(response), false);
+  connection->writeBody(content);
+  connection->finishAnswer();
+}
+
+void Exchange::begin(ResponseHead response) {
+  const std::shared_ptr<ServerConnection> connection = connection_.lock();
+  if (connection && !gone_)
+    connection->writeHead(std::move(response), true);
+}
+
+void Exchange::write(std::string_view bytes) {
+  const std::shared_ptr<ServerConnection> connection = connection_.lock();
+  if (connection && !gone_)
+    connection->writeBody(bytes);
+}
+
+void Exchange::end() {
+  const std::shared_ptr<ServerConnection> connection = connection_.lock();
+  if (connection && !gone_)
+    connection->finishAnswer();
+}
+
+void Exchange::abort() {
+  const std::shared_ptr<ServerConnection> connection = connection_.lock();
+  if (!connection || gone_)
+    return;
+  gone_ = true;
+  connection->close();
+}
+
+std::size_t Exchange::pendingBytes() const {
+  const std::shared_ptr<ServerConnection> connection = connection_.lock();
+  return connection ? connection->pendingBytes() : 0;
+}
+
+} // namespace auburnspring::http
--- a/src/auburnspring/peer/peer_mesh.cpp
+++ b/src/auburnspring/peer/peer_mesh.cpp
@@ -241,7 +241,7 @@
   if (seen_.size() >= MaxSeen && seen_.count(envelope.from) == 0)
     return true;
   Seen &seen = seen_[envelope.from];
-  if (envelope.incarnation < seen.incarnation)
+  if (options_.incarnationsGrow && envelope.incarnation < seen.incarnation)
     return true;
   if (envelope.incarnation == seen.incarnation && envelope.count <= seen.count)
     return true;
--- /dev/null
+++ b/src/auburnspring/serving/event_splitter.cpp
@@ -0,0 +1,59 @@
+#include "auburnspring/serving/event_splitter.h"
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/strip.h>
+
+#include <utility>
+
+namespace auburnspring {
+
+namespace {
+
+constexpr std::string_view IdField = "id:";
+
+std::optional<std::int64_t> idOf(std::string_view event) {
+  while (!event.empty()) {
+    const std::size_t end = event.find('\n');
+    const std::string_view line = event.substr(0, end);
+    if (line.substr(0, IdField.size()) == IdField) {
+      const std::string_view text = line.substr(IdField.size());
+      std::int64_t id = 0;
+      if (absl::SimpleAtoi(
+              absl::StripAsciiWhitespace({text.data(), text.size()}), &id))
+        return id;
+    }
+    if (end == std::string_view::npos)
+      break;
+    event.remove_prefix(end + 1);
+  }
+  return std::nullopt;
+}
+
+/// Length up to and with the empty line that ends the first event; 0 if it is
+/// not there yet.
+std::size_t eventLength(std::string_view text) {
+  const std::size_t plain = text.find("\n\n");
+  const std::size_t crossed = text.find("\n\r\n");
+  if (plain == std::string_view::npos && crossed == std::string_view::npos)
+    return 0;
+  if (crossed == std::string_view::npos || plain < crossed)
+    return plain + 2;
+  return crossed + 3;
+}
+
+} // namespace
+
+std::vector<StreamEvent> EventSplitter::feed(std::string_view bytes) {
+  partial_.append(bytes);
+  std::vector<StreamEvent> events;
+  std::string_view rest = partial_;
+  while (const std::size_t length = eventLength(rest)) {
+    const std::string_view event = rest.substr(0, length);
+    events.push_back({std::string(event), idOf(event)});
+    rest.remove_prefix(length);
+  }
+  partial_.erase(0, partial_.size() - rest.size());
+  return events;
+}
+
+} // namespace auburnspring
--- /dev/null
+++ b/src/auburnspring/serving/serving_metrics.cpp
@@ -0,0 +1,81 @@
+#include "auburnspring/serving/serving_metrics.h"
+
+#include <prometheus/text_serializer.h>
+
+namespace auburnspring {
+
+namespace {
+
+/// Upper ends in seconds, from a plain call to the longest deadline.
+const prometheus::Histogram::BucketBoundaries LatencyBuckets = {
+    0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.2, 1.6, 2, 3, 5, 8, 12, 20};
+
+double seconds(Duration span) {
+  return static_cast<double>(span.count()) / 1e6;
+}
+
+} // namespace
+
+ServingMetrics::ServingMetrics()
+    : requests_(&prometheus::BuildCounter()
+                     .Name("auburnspring_requests_total")
+                     .Help("Requests by route and outcome")
+                     .Register(registry_)),
+      latency_(&prometheus::BuildHistogram()
+                    .Name("auburnspring_request_seconds")
+                    .Help("Time from a request to the end of its answer")
+                    .Register(registry_)),
+      firstEvent_(&prometheus::BuildHistogram()
+                       .Name("auburnspring_first_event_seconds")
+                       .Help("Time from a request to its first event")
+                       .Register(registry_)),
+      attempts_(&prometheus::BuildCounter()
+                     .Name("auburnspring_attempts_total")
+                     .Help("Attempts at upstreams by pool and end")
+                     .Register(registry_)),
+      stages_(&prometheus::BuildHistogram()
+                   .Name("auburnspring_stage_seconds")
+                   .Help("Time of one stage of one request")
+                   .Register(registry_)),
+      refusals_(&prometheus::BuildCounter()
+                     .Name("auburnspring_refusals_total")
+                     .Help("Requests refused as not run, by reason")
+                     .Register(registry_)),
+      state_(&prometheus::BuildGauge()
+                  .Name("auburnspring_state")
+                  .Help("What the host holds and believes")
+                  .Register(registry_)) {}
+
+void ServingMetrics::countRequest(const std::string &route,
+                                  const std::string &outcome, Duration took) {
+  requests_->Add({{"route", route}, {"outcome", outcome}}).Increment();
+  latency_->Add({{"route", route}}, LatencyBuckets).Observe(seconds(took));
+}
+
+void ServingMetrics::observeFirstEvent(const std::string &route,
+                                       Duration took) {
+  firstEvent_->Add({{"route", route}}, LatencyBuckets).Observe(seconds(took));
+}
+
+void ServingMetrics::countAttempt(const std::string &pool,
+                                  const std::string &end) {
+  attempts_->Add({{"pool", pool}, {"end", end}}).Increment();
+}
+
+void ServingMetrics::observeStage(const std::string &pool, Duration took) {
+  stages_->Add({{"pool", pool}}, LatencyBuckets).Observe(seconds(took));
+}
+
+void ServingMetrics::countRefusal(const std::string &reason) {
+  refusals_->Add({{"reason", reason}}).Increment();
+}
+
+void ServingMetrics::set(const std::string &name, double value) {
+  state_->Add({{"of", name}}).Set(value);
+}
+
+std::string ServingMetrics::text() const {
+  return prometheus::TextSerializer().Serialize(registry_.Collect());
+}
+
+} // namespace auburnspring
--- a/src/auburnspring/shell/host_shell.cpp
+++ b/src/auburnspring/shell/host_shell.cpp
@@ -2,7 +2,7 @@
 
 #include "auburnspring/base/digest.h"
 #include "auburnspring/base/log.h"
-#include "auburnspring/platform/host_list_client.h"
+#include "auburnspring/store/host_list_client.h"
 
 #include <algorithm>
 #include <chrono>
--- a/src/auburnspring/platform/etcd_store.cpp
+++ b/src/auburnspring/store/etcd_store.cpp
@@ -1,4 +1,4 @@
-#include "auburnspring/platform/etcd_store.h"
+#include "auburnspring/store/etcd_store.h"
 
 #include <absl/strings/escaping.h>
 #include <absl/strings/numbers.h>
--- a/src/auburnspring/platform/host_list_client.cpp
+++ b/src/auburnspring/store/host_list_client.cpp
@@ -1,6 +1,6 @@
-#include "auburnspring/platform/host_list_client.h"
+#include "auburnspring/store/host_list_client.h"
 
-#include "auburnspring/platform/http_call.h"
+#include "auburnspring/store/http_call.h"
 
 #include <absl/strings/str_cat.h>
 #include <nlohmann/json.hpp>
--- a/src/auburnspring/platform/http_call.cpp
+++ b/src/auburnspring/store/http_call.cpp
@@ -1,4 +1,4 @@
-#include "auburnspring/platform/http_call.h"
+#include "auburnspring/store/http_call.h"
 
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPClientSession.h>
--- a/src/auburnspring/platform/key_value_caller.cpp
+++ b/src/auburnspring/store/key_value_caller.cpp
@@ -1,4 +1,4 @@
-#include "auburnspring/platform/key_value_caller.h"
+#include "auburnspring/store/key_value_caller.h"
 
 #include <algorithm>
 
--- a/src/auburnspring/platform/platform_test.cpp
+++ b/src/auburnspring/store/store_test.cpp
@@ -1,6 +1,6 @@
-#include "auburnspring/platform/etcd_store.h"
-#include "auburnspring/platform/host_list_client.h"
-#include "auburnspring/platform/http_call.h"
+#include "auburnspring/store/etcd_store.h"
+#include "auburnspring/store/host_list_client.h"
+#include "auburnspring/store/http_call.h"
 
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/StreamSocket.h>
--- a/src/auburnspring/wire/peer_codec.cpp
+++ b/src/auburnspring/wire/peer_codec.cpp
@@ -14,6 +14,8 @@
 constexpr int Version = 1;
 constexpr std::size_t MacBytes = 32;
 constexpr std::size_t MaxRumours = 5000;
+/// Pieces of one job, far above what a stage has.
+constexpr std::uint32_t MaxJobPieces = 4096;
 
 using Mac = std::array<unsigned char, MacBytes>;
 
@@ -151,6 +153,130 @@
   return reply;
 }
 
+nlohmann::json toJson(const HostBeat &beat) {
+  nlohmann::json loads = nlohmann::json::array();
+  for (const UpstreamLoad &load : beat.loads)
+    loads.push_back(
+        {load.upstream, load.inFlight, load.prefillTokens, load.heldTokens});
+  return {{"rev", beat.storeRevision},
+          {"store", beat.storeReachable},
+          {"leaving", beat.isLeaving},
+          {"loads", std::move(loads)}};
+}
+
+HostBeat readBeat(const nlohmann::json &json) {
+  HostBeat beat;
+  beat.storeRevision = json.at("rev").get<std::int64_t>();
+  beat.storeReachable = json.at("store").get<bool>();
+  beat.isLeaving = json.at("leaving").get<bool>();
+  for (const nlohmann::json &load : json.at("loads")) {
+    if (beat.loads.size() >= MaxRumours)
+      break;
+    beat.loads.push_back(
+        {load.at(0).get<std::string>(), load.at(1).get<std::int64_t>(),
+         load.at(2).get<std::int64_t>(), load.at(3).get<std::int64_t>()});
+  }
+  return beat;
+}
+
+nlohmann::json toJson(const PieceSubmit &submit) {
+  nlohmann::json jobs = nlohmann::json::array();
+  for (const PieceSubmit::Entry &entry : submit.jobs) {
+    const PieceJob &job = entry.job;
+    jobs.push_back({job.host, job.requestId, job.stage, job.round, job.pool,
+                    job.pieces, job.key, job.inputs, job.resultBytes,
+                    entry.goalIn.count(), entry.deadlineIn.count(),
+                    job.density});
+  }
+  return jobs;
+}
+
+PieceSubmit readSubmit(const nlohmann::json &json) {
+  PieceSubmit submit;
+  for (const nlohmann::json &fields : json) {
+    PieceSubmit::Entry entry;
+    PieceJob &job = entry.job;
+    job.host = fields.at(0).get<std::string>();
+    job.requestId = fields.at(1).get<std::string>();
+    job.stage = fields.at(2).get<std::uint32_t>();
+    job.round = fields.at(3).get<std::uint32_t>();
+    job.pool = fields.at(4).get<std::string>();
+    job.pieces = std::min(fields.at(5).get<std::uint32_t>(), MaxJobPieces);
+    job.key = fields.at(6).get<std::string>();
+    job.inputs = fields.at(7).get<std::vector<std::string>>();
+    job.resultBytes = fields.at(8).get<std::int64_t>();
+    entry.goalIn = Duration(fields.at(9).get<std::int64_t>());
+    entry.deadlineIn = Duration(fields.at(10).get<std::int64_t>());
+    job.density = fields.at(11).get<double>();
+    submit.jobs.push_back(std::move(entry));
+  }
+  return submit;
+}
+
+nlohmann::json toJson(const PieceWithdraw &withdraw) {
+  return {{"pool", withdraw.pool}, {"id", withdraw.requestId}};
+}
+
+nlohmann::json toJson(const PieceRelease &release) {
+  return {{"pool", release.pool}, {"results", release.results}};
+}
+
+nlohmann::json toJson(const PieceOutcomes &message) {
+  nlohmann::json outcomes = nlohmann::json::array();
+  for (const PieceOutcome &outcome : message.outcomes)
+    outcomes.push_back({outcome.host, outcome.requestId, outcome.stage,
+                        outcome.round, static_cast<unsigned>(outcome.verdict),
+                        outcome.results});
+  return outcomes;
+}
+
+PieceOutcomes readOutcomes(const nlohmann::json &json) {
+  PieceOutcomes message;
+  for (const nlohmann::json &fields : json) {
+    const auto verdict = fields.at(4).get<unsigned>();
+    message.outcomes.push_back(
+        {fields.at(0).get<std::string>(), fields.at(1).get<std::string>(),
+         fields.at(2).get<std::uint32_t>(), fields.at(3).get<std::uint32_t>(),
+         static_cast<PieceVerdict>(std::min(verdict, 3U)),
+         fields.at(5).get<std::vector<std::string>>()});
+  }
+  return message;
+}
+
+nlohmann::json toJson(const GathererPing &ping) {
+  return {{"answer", ping.isAnswer}};
+}
+
+nlohmann::json toJson(const ReplicaRequest &request) {
+  return {{"rev", request.revision}};
+}
+
+nlohmann::json toJson(const ReplicaReply &reply) {
+  nlohmann::json changes = nlohmann::json::array();
+  for (const StoreChange &change : reply.changes)
+    changes.push_back({change.key, nlohmann::json::binary(
+                                       {change.value.begin(),
+                                        change.value.end()}),
+                       change.revision, change.removed});
+  return {{"whole", reply.isWhole},
+          {"rev", reply.revision},
+          {"changes", std::move(changes)}};
+}
+
+ReplicaReply readReplica(const nlohmann::json &json) {
+  ReplicaReply reply;
+  reply.isWhole = json.at("whole").get<bool>();
+  reply.revision = json.at("rev").get<std::int64_t>();
+  for (const nlohmann::json &fields : json.at("changes")) {
+    const auto &value = fields.at(1).get_binary();
+    reply.changes.push_back({fields.at(0).get<std::string>(),
+                             std::string(value.begin(), value.end()),
+                             fields.at(2).get<std::int64_t>(),
+                             fields.at(3).get<bool>()});
+  }
+  return reply;
+}
+
 absl::StatusOr<PeerMessage> readMessage(std::size_t kind,
                                         const nlohmann::json &json) {
   switch (kind) {
@@ -167,6 +293,25 @@
     return PeerMessage(readForward(json));
   case 5:
     return PeerMessage(readForwarded(json));
+  case 6:
+    return PeerMessage(readBeat(json));
+  case 7:
+    return PeerMessage(readSubmit(json));
+  case 8:
+    return PeerMessage(PieceWithdraw{json.at("pool").get<std::string>(),
+                                     json.at("id").get<std::string>()});
+  case 9:
+    return PeerMessage(
+        PieceRelease{json.at("pool").get<std::string>(),
+                     json.at("results").get<std::vector<std::string>>()});
+  case 10:
+    return PeerMessage(readOutcomes(json));
+  case 11:
+    return PeerMessage(GathererPing{json.at("answer").get<bool>()});
+  case 12:
+    return PeerMessage(ReplicaRequest{json.at("rev").get<std::int64_t>()});
+  case 13:
+    return PeerMessage(readReplica(json));
   default:
     return absl::UnimplementedError(
         absl::StrCat("a peer message has the unknown kind ", kind));
