--- a/include/auburnspring/base/log.h
+++ b/include/auburnspring/base/log.h
@@ -44,8 +44,8 @@
 
 /// Takes each finished line, its newline included, in place of standard error.
 /// Set it before other threads log.
-void setLogSink(std::function<void(absl::string_view event, std::string line)>
-                    sink);
+void setLogSink(
+    std::function<void(absl::string_view event, std::string line)> sink);
 
 /// One formatted line without its time and its newline.
 std::string formatLogLine(LogLevel level, absl::string_view event,
--- a/include/auburnspring/decision/request_value.h
+++ b/include/auburnspring/decision/request_value.h
@@ -15,9 +15,9 @@
                            std::int64_t priority) {
   constexpr double RankFactors[] = {2.0, 1.0, 0.6, 0.4};
   const auto rank = std::clamp<std::int64_t>(priority, 0, 3);
-  const double size = static_cast<double>(promptTokens) +
-                      PromptTokensPerOutputToken *
-                          static_cast<double>(outputTokens);
+  const double size =
+      static_cast<double>(promptTokens) +
+      PromptTokensPerOutputToken * static_cast<double>(outputTokens);
   return std::max(size, 1.0) * RankFactors[rank];
 }
 
--- a/include/auburnspring/decision/store_replica.h
+++ b/include/auburnspring/decision/store_replica.h
@@ -30,8 +30,7 @@
 
   /// All that has changed after `revision`; false if the journal does not go
   /// back so far.
-  bool changesAfter(std::int64_t revision,
-                    std::vector<StoreChange> *out) const;
+  bool changesAfter(std::int64_t revision, std::vector<StoreChange> *out) const;
 
   /// Every item that exists.
   std::vector<StoreChange> snapshot() const;
--- a/include/auburnspring/decision/upstream_registry.h
+++ b/include/auburnspring/decision/upstream_registry.h
@@ -42,9 +42,7 @@
   /// Grows with each change, so that a reader can keep what it derived.
   std::uint64_t changes() const { return changes_; }
   std::size_t size() const { return byKey_.size(); }
-  const std::map<std::string, ServedUpstreamPtr> &all() const {
-    return byKey_;
-  }
+  const std::map<std::string, ServedUpstreamPtr> &all() const { return byKey_; }
 
 private:
   std::map<std::string, ServedUpstreamPtr> byKey_;
--- a/include/auburnspring/http/exchange.h
+++ b/include/auburnspring/http/exchange.h
@@ -38,6 +38,9 @@
   /// Closes the connection so that the answer can't look complete.
   void abort();
 
+  /// The same once everything that was written has been sent.
+  void abortAfterFlush();
+
   /// Bytes of the answer that the connection has not taken yet.
   std::size_t pendingBytes() const;
   bool isGone() const { return gone_; }
--- a/include/auburnspring/http/server.h
+++ b/include/auburnspring/http/server.h
@@ -50,6 +50,8 @@
   /// Stops to accept and closes what has no request in progress.
   void close();
 
+  /// Where it listens; a port of 0 was replaced by a free one.
+  Endpoint endpoint() const;
   bool isDraining() const { return draining_; }
   std::size_t connectionCount() const { return connections_.size(); }
 
--- a/include/auburnspring/serving/metadata_store.h
+++ b/include/auburnspring/serving/metadata_store.h
@@ -25,8 +25,7 @@
 /// not hold; any other failure leaves open whether a change was made.
 class MetadataStore {
 public:
-  template <typename T>
-  using Answer = std::function<void(absl::StatusOr<T>)>;
+  template <typename T> using Answer = std::function<void(absl::StatusOr<T>)>;
 
   virtual ~MetadataStore() = default;
 
@@ -40,8 +39,7 @@
   /// Writes a key that lives as long as the lease.
   virtual void put(const std::string &key, const std::string &value,
                    std::int64_t lease, Answer<std::int64_t> answer) = 0;
-  virtual void remove(const std::string &key,
-                      Answer<std::int64_t> answer) = 0;
+  virtual void remove(const std::string &key, Answer<std::int64_t> answer) = 0;
 };
 
 } // namespace auburnspring
--- a/include/auburnspring/serving/serving_host.h
+++ b/include/auburnspring/serving/serving_host.h
@@ -36,6 +36,11 @@
   /// The settings file has changed.
   void reload(const ServingSettings &settings);
 
+  /// Where callers connect, with the port that was picked if it was 0.
+  Endpoint callersEndpoint() const { return callers_.endpoint(); }
+  Endpoint readinessEndpoint() const { return readiness_.endpoint(); }
+  const ServingContext &context() const { return context_; }
+
 private:
   // Beliefs.
   void onStoreChanges(const std::vector<StoreChange> &changes);
--- a/include/auburnspring/shell/host_shell.h
+++ b/include/auburnspring/shell/host_shell.h
@@ -4,9 +4,9 @@
 #include "auburnspring/config/settings.h"
 #include "auburnspring/decision/entry_host.h"
 #include "auburnspring/peer/peer_mesh.h"
+#include "auburnspring/shell/caller_desk.h"
 #include "auburnspring/store/etcd_store.h"
 #include "auburnspring/store/key_value_caller.h"
-#include "auburnspring/shell/caller_desk.h"
 #include "auburnspring/upstream/attempt_runner.h"
 
 #include <absl/status/status.h>
--- a/src/auburnspring/base/log.cpp
+++ b/src/auburnspring/base/log.cpp
@@ -72,8 +72,7 @@
   hostName = std::string(host);
 }
 
-void setLogSink(
-    std::function<void(absl::string_view, std::string)> sink) {
+void setLogSink(std::function<void(absl::string_view, std::string)> sink) {
   logSink = std::move(sink);
 }
 
--- a/src/auburnspring/ctl/commands.cpp
+++ b/src/auburnspring/ctl/commands.cpp
@@ -2,9 +2,9 @@
 
 #include "auburnspring/base/digest.h"
 #include "auburnspring/decision/ledger_page.h"
+#include "auburnspring/publishing/publisher.h"
 #include "auburnspring/store/etcd_store.h"
 #include "auburnspring/store/http_call.h"
-#include "auburnspring/publishing/publisher.h"
 #include "file_collector.h"
 #include "host_client.h"
 
--- a/src/auburnspring/decision/piece_gatherer.cpp
+++ b/src/auburnspring/decision/piece_gatherer.cpp
@@ -45,8 +45,8 @@
   std::map<std::string, Worker> next;
   for (ServedUpstreamPtr &upstream : upstreams) {
     // A new life under an old id holds nothing of before.
-    const std::string key = upstream->entry.id + "/" +
-                            std::to_string(upstream->entry.bornMillis);
+    const std::string key =
+        upstream->entry.id + "/" + std::to_string(upstream->entry.bornMillis);
     const auto known = workers_.find(key);
     Worker &worker = next[key];
     if (known != workers_.end())
@@ -143,11 +143,10 @@
     const bool inTime = now + call <= job.job.goalAt;
     order.push_back({&job, job.job.density * (inTime ? 1.0 : LateShare)});
   }
-  std::stable_sort(order.begin(), order.end(),
-                   [](const Ranked &a, const Ranked &b) {
-                     return a.rank != b.rank ? a.rank > b.rank
-                                             : a.job->since < b.job->since;
-                   });
+  std::stable_sort(
+      order.begin(), order.end(), [](const Ranked &a, const Ranked &b) {
+        return a.rank != b.rank ? a.rank > b.rank : a.job->since < b.job->since;
+      });
   std::vector<Job *> jobs;
   for (const Ranked &entry : order)
     jobs.push_back(entry.job);
@@ -198,8 +197,8 @@
   ++worker->calls;
   worker->lastCallAt = now;
   piecesSent_ += batch.items.size();
-  typicalBatch_ += (static_cast<double>(batch.items.size()) - typicalBatch_) *
-                   NewestWeight;
+  typicalBatch_ +=
+      (static_cast<double>(batch.items.size()) - typicalBatch_) * NewestWeight;
   calls_[batch.number] = std::move(call);
   return batch;
 }
@@ -286,8 +285,7 @@
   }
   if (end == BatchEnd::Answered && results.size() == call.items.size()) {
     if (worker != nullptr) {
-      const double ratio =
-          toMillis(now - call.since) / toMillis(call.expected);
+      const double ratio = toMillis(now - call.since) / toMillis(call.expected);
       worker->slowness += (ratio - worker->slowness) * NewestWeight;
       noteAnswered(worker->upstream.get(), now - call.since, now);
     }
@@ -324,9 +322,9 @@
   }
   case PieceResult::Kind::NoRoom:
     if (worker != nullptr)
-      worker->pausedUntil = std::max(worker->pausedUntil,
-                                     worker->lastCallAt + limits_.callTime +
-                                         limits_.callTime);
+      worker->pausedUntil =
+          std::max(worker->pausedUntil,
+                   worker->lastCallAt + limits_.callTime + limits_.callTime);
     return requeue(item, true);
   case PieceResult::Kind::Error:
     return requeue(item, true);
--- /dev/null
+++ b/src/auburnspring/decision/piece_gatherer_test.cpp
@@ -0,0 +1,244 @@
+#include "auburnspring/decision/piece_gatherer.h"
+
+#include <catch2/catch.hpp>
+
+#include <set>
+
+using namespace auburnspring;
+
+namespace {
+
+constexpr Duration Milli = std::chrono::milliseconds(1);
+
+TimePoint at(std::int64_t millis) { return TimePoint() + Milli * millis; }
+
+BatchLimits limits() {
+  BatchLimits limits;
+  limits.slots = 1;
+  limits.queue = 2;
+  limits.batch = 18;
+  limits.callTime = 240 * Milli;
+  limits.itemTime = 11 * Milli;
+  limits.roomBytes = 22000000;
+  limits.resultLife = 4000 * Milli;
+  return limits;
+}
+
+std::vector<ServedUpstreamPtr> upstreams(int count) {
+  std::vector<ServedUpstreamPtr> list;
+  for (int i = 0; i < count; ++i) {
+    auto upstream = std::make_shared<ServedUpstream>();
+    upstream->entry.id = "u" + std::to_string(i);
+    list.push_back(upstream);
+  }
+  return list;
+}
+
+PieceJob job(const std::string &id, std::uint32_t pieces,
+             std::int64_t goalMillis = 2000, double density = 1) {
+  PieceJob job;
+  job.host = "h";
+  job.requestId = id;
+  job.pool = "stock";
+  job.pieces = pieces;
+  job.key = "key";
+  job.goalAt = at(goalMillis);
+  job.deadline = at(12000);
+  job.density = density;
+  return job;
+}
+
+std::vector<PieceResult> done(const PieceBatch &batch) {
+  std::vector<PieceResult> results;
+  for (const BatchItem &item : batch.items)
+    results.push_back({PieceResult::Kind::Result,
+                       item.requestId + "." + std::to_string(item.piece)});
+  return results;
+}
+
+PieceGatherer gatherer(int workers) {
+  PieceGatherer gatherer("stock");
+  gatherer.setLimits(limits());
+  gatherer.setUpstreams(upstreams(workers));
+  return gatherer;
+}
+
+} // namespace
+
+TEST_CASE("a lone job leaves at once and comes back whole") {
+  PieceGatherer pool = gatherer(5);
+  pool.submit(job("r", 3), at(1000));
+  auto batches = pool.dispatch(at(1000));
+  REQUIRE(batches.size() == 1);
+  CHECK(batches[0].items.size() == 3);
+  CHECK(batches[0].items[0].key == "key");
+  pool.onBatchEnd(batches[0].number, BatchEnd::Answered, done(batches[0]),
+                  at(1273));
+  const auto outcomes = pool.takeOutcomes();
+  REQUIRE(outcomes.size() == 1);
+  CHECK(outcomes[0].verdict == PieceVerdict::Done);
+  CHECK(outcomes[0].results ==
+        std::vector<std::string>{"r.0", "r.1", "r.2"});
+}
+
+TEST_CASE("steady arrivals: calls are spread over the upstreams' cycle") {
+  PieceGatherer pool = gatherer(5);
+  std::vector<std::int64_t> sentAt;
+  for (std::int64_t now = 1000; now < 1200; now += 5) {
+    pool.submit(job("r" + std::to_string(now), 1), at(now));
+    for (std::size_t i = 0; i < pool.dispatch(at(now)).size(); ++i)
+      sentAt.push_back(now);
+  }
+  REQUIRE(sentAt.size() >= 3);
+  CHECK(sentAt.size() <= 5);
+  for (std::size_t i = 1; i < sentAt.size(); ++i)
+    CHECK(sentAt[i] - sentAt[i - 1] >= 45);
+}
+
+TEST_CASE("a full batch does not wait for its turn") {
+  PieceGatherer pool = gatherer(2);
+  for (int i = 0; i < 12; ++i)
+    pool.submit(job("r" + std::to_string(i), 3), at(1000));
+  const auto batches = pool.dispatch(at(1000));
+  REQUIRE(batches.size() == 2);
+  CHECK(batches[0].items.size() == 18);
+  CHECK(batches[1].items.size() == 18);
+  CHECK(batches[0].upstream != batches[1].upstream);
+}
+
+TEST_CASE("no call waits at an upstream: one each at a time") {
+  PieceGatherer pool = gatherer(1);
+  pool.submit(job("a", 18), at(1000));
+  REQUIRE(pool.dispatch(at(1000)).size() == 1);
+  pool.submit(job("b", 18), at(1100));
+  CHECK(pool.dispatch(at(1100)).empty());
+}
+
+TEST_CASE("overload: dear work in time goes first, a share to the oldest") {
+  PieceGatherer pool = gatherer(1);
+  pool.submit(job("cheap", 30, 5000, 1), at(900));
+  pool.submit(job("late", 30, 1000, 50), at(990));
+  pool.submit(job("dear", 30, 5000, 10), at(1000));
+  const auto batches = pool.dispatch(at(1000));
+  REQUIRE(batches.size() == 1);
+  std::map<std::string, int> taken;
+  for (const BatchItem &item : batches[0].items)
+    ++taken[item.requestId];
+  CHECK(taken["dear"] == 15);
+  CHECK(taken["cheap"] == 3);
+}
+
+TEST_CASE("results fill an upstream's room until they are released") {
+  PieceGatherer pool = gatherer(1);
+  PieceJob big = job("a", 18);
+  big.resultBytes = 2000000;
+  pool.submit(big, at(1000));
+  auto batches = pool.dispatch(at(1000));
+  REQUIRE(batches.size() == 1);
+  CHECK(batches[0].items.size() == 10);
+  pool.onBatchEnd(batches[0].number, BatchEnd::Answered, done(batches[0]),
+                  at(1350));
+  batches = pool.dispatch(at(1350));
+  REQUIRE(batches.size() == 1);
+  // One piece is always tried: the count is this host's own estimate.
+  CHECK(batches[0].items.size() == 1);
+  pool.onBatchEnd(batches[0].number, BatchEnd::Answered, done(batches[0]),
+                  at(1650));
+  std::vector<std::string> held;
+  for (int i = 7; i < 18; ++i)
+    held.push_back("a." + std::to_string(i));
+  pool.release(held);
+  batches = pool.dispatch(at(1700));
+  REQUIRE(batches.size() == 1);
+  CHECK(batches[0].items.size() == 7);
+}
+
+TEST_CASE("a slow upstream's pieces go elsewhere, the first result counts") {
+  PieceGatherer pool = gatherer(2);
+  pool.submit(job("r", 2), at(1000));
+  const auto first = pool.dispatch(at(1000));
+  REQUIRE(first.size() == 1);
+  CHECK(pool.dispatch(at(1400)).empty());
+  const auto second = pool.dispatch(at(1600));
+  REQUIRE(second.size() == 1);
+  CHECK(second[0].upstream != first[0].upstream);
+  pool.onBatchEnd(second[0].number, BatchEnd::Answered, done(second[0]),
+                  at(1862));
+  REQUIRE(pool.takeOutcomes().size() == 1);
+  pool.onBatchEnd(first[0].number, BatchEnd::Answered, done(first[0]),
+                  at(2200));
+  CHECK(pool.takeOutcomes().empty());
+  CHECK(pool.takeOrphans().size() == 2);
+}
+
+TEST_CASE("an upstream that has been slow is tried with a single piece") {
+  PieceGatherer pool = gatherer(1);
+  pool.submit(job("a", 1), at(1000));
+  auto batches = pool.dispatch(at(1000));
+  pool.onBatchEnd(batches[0].number, BatchEnd::Answered, done(batches[0]),
+                  at(2500));
+  pool.takeOutcomes();
+  pool.submit(job("b", 18, 9000), at(2500));
+  batches = pool.dispatch(at(2500));
+  REQUIRE(batches.size() == 1);
+  CHECK(batches[0].items.size() == 1);
+}
+
+TEST_CASE("refused and broken calls lose no piece") {
+  PieceGatherer pool = gatherer(2);
+  pool.submit(job("r", 4), at(1000));
+  auto batches = pool.dispatch(at(1000));
+  pool.onBatchEnd(batches[0].number, BatchEnd::NotRun, {}, at(1002));
+  batches = pool.dispatch(at(1300));
+  REQUIRE(batches.size() == 1);
+  CHECK(batches[0].items.size() == 4);
+  pool.onBatchEnd(batches[0].number, BatchEnd::Broken, {}, at(1310));
+  batches = pool.dispatch(at(2300));
+  REQUIRE(batches.size() == 1);
+  std::set<std::uint32_t> pieces;
+  for (const BatchItem &item : batches[0].items)
+    pieces.insert(item.piece);
+  CHECK(pieces == std::set<std::uint32_t>{0, 1, 2, 3});
+}
+
+TEST_CASE("what can't be done in time is told at once") {
+  PieceGatherer pool = gatherer(1);
+  PieceJob hopeless = job("r", 1);
+  hopeless.deadline = at(1200);
+  pool.submit(hopeless, at(1000));
+  CHECK(pool.dispatch(at(1000)).empty());
+  const auto outcomes = pool.takeOutcomes();
+  REQUIRE(outcomes.size() == 1);
+  CHECK(outcomes[0].verdict == PieceVerdict::Hopeless);
+}
+
+TEST_CASE("a job handed over twice runs once, a withdrawn one not at all") {
+  PieceGatherer pool = gatherer(5);
+  pool.submit(job("r", 2), at(1000));
+  pool.submit(job("r", 2), at(1000));
+  const auto batches = pool.dispatch(at(1000));
+  REQUIRE(batches.size() == 1);
+  CHECK(batches[0].items.size() == 2);
+  pool.withdraw("h", "r");
+  pool.onBatchEnd(batches[0].number, BatchEnd::Answered, done(batches[0]),
+                  at(1270));
+  CHECK(pool.takeOutcomes().empty());
+  CHECK(pool.takeOrphans().size() == 2);
+  pool.submit(job("s", 1), at(1300));
+  pool.withdraw("h", "s");
+  CHECK(pool.dispatch(at(1300)).empty());
+}
+
+TEST_CASE("inputs that are gone end the job") {
+  PieceGatherer pool = gatherer(1);
+  pool.submit(job("r", 2), at(1000));
+  const auto batches = pool.dispatch(at(1000));
+  pool.onBatchEnd(batches[0].number, BatchEnd::Answered,
+                  {{PieceResult::Kind::Result, "x"},
+                   {PieceResult::Kind::InputsGone, ""}},
+                  at(1270));
+  const auto outcomes = pool.takeOutcomes();
+  REQUIRE(outcomes.size() == 1);
+  CHECK(outcomes[0].verdict == PieceVerdict::InputsGone);
+  CHECK(pool.takeOrphans() == std::vector<std::string>{"x"});
+}
--- a/src/auburnspring/decision/placement.cpp
+++ b/src/auburnspring/decision/placement.cpp
@@ -64,9 +64,9 @@
                              ? PriorLatencyMillis
                              : toMillis(upstream.latency);
   const double load =
-      1 + static_cast<double>(attemptsAt(upstream, now)) /
-              static_cast<double>(std::max<std::int64_t>(
-                  upstream.entry.slots, 1));
+      1 +
+      static_cast<double>(attemptsAt(upstream, now)) /
+          static_cast<double>(std::max<std::int64_t>(upstream.entry.slots, 1));
   return latency * load * (1 + FailureWeight * upstream.failureRate);
 }
 
@@ -78,18 +78,17 @@
 EngineLoad loadOf(const ServedUpstream &engine, const EngineLimits &limits,
                   const PlacementRequest &request, TimePoint now) {
   const std::int64_t running = attemptsAt(engine, now);
-  const std::int64_t prefill = withPeers(engine, now, engine.prefillTokens,
-                                         &PeerLoad::prefillTokens);
+  const std::int64_t prefill =
+      withPeers(engine, now, engine.prefillTokens, &PeerLoad::prefillTokens);
   const std::int64_t held =
       withPeers(engine, now, engine.heldTokens, &PeerLoad::heldTokens);
   const std::int64_t needed = request.promptTokens + request.outputTokens;
   EngineLoad load;
   load.delayMillis = static_cast<double>(prefill) / PrefillTokensPerMilli +
                      static_cast<double>(running) * StepMillisPerRunning;
-  load.isFull =
-      running >= limits.slots ||
-      static_cast<double>(held + needed) >
-          MemoryShare * static_cast<double>(limits.cacheTokens);
+  load.isFull = running >= limits.slots ||
+                static_cast<double>(held + needed) >
+                    MemoryShare * static_cast<double>(limits.cacheTokens);
   if (load.isFull)
     load.delayMillis += FullPenaltyMillis;
   load.delayMillis *= 1 + FailureWeight * engine.failureRate;
@@ -140,8 +139,7 @@
   double bestMillis = std::numeric_limits<double>::max();
   for (std::size_t i = 0; i < found.size(); ++i) {
     const bool isCached = !subject.empty() && i < CachedOn;
-    const std::int64_t toRead =
-        request.promptTokens - (isCached ? shared : 0);
+    const std::int64_t toRead = request.promptTokens - (isCached ? shared : 0);
     double millis = loadOf(*found[i], limits, request, now).delayMillis +
                     static_cast<double>(toRead) / PrefillTokensPerMilli;
     // Between the two holders the first is preferred while it is not busier.
--- a/src/auburnspring/decision/repeat_allowance.cpp
+++ b/src/auburnspring/decision/repeat_allowance.cpp
@@ -26,9 +26,9 @@
                             TimePoint now, bool isSoleSender) {
   Window &window = pools_[pool];
   expire(&window, now);
-  const double slack =
-      isSoleSender ? limits_.slack
-                   : limits_.slack / static_cast<double>(sharers_);
+  const double slack = isSoleSender
+                           ? limits_.slack
+                           : limits_.slack / static_cast<double>(sharers_);
   const double allowed =
       SafetyFactor *
       (limits_.ratio * static_cast<double>(window.firstCount) + slack);
--- /dev/null
+++ b/src/auburnspring/decision/serving_decisions_test.cpp
@@ -0,0 +1,304 @@
+#include "auburnspring/decision/attempt_verdict.h"
+#include "auburnspring/decision/placement.h"
+#include "auburnspring/decision/repeat_allowance.h"
+#include "auburnspring/decision/stage_plan.h"
+#include "auburnspring/decision/store_replica.h"
+#include "auburnspring/decision/upstream_health.h"
+#include "auburnspring/decision/upstream_registry.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+using namespace auburnspring;
+
+namespace {
+
+constexpr Duration Milli = std::chrono::milliseconds(1);
+
+TimePoint at(std::int64_t millis) { return TimePoint() + Milli * millis; }
+
+UpstreamEntry entry(const std::string &id, std::uint16_t port = 80,
+                    std::int64_t born = 1) {
+  UpstreamEntry entry;
+  entry.id = id;
+  entry.pool = "p";
+  entry.endpoint = {"10.0.0.1", port};
+  entry.bornMillis = born;
+  return entry;
+}
+
+ServedRoute route(RepeatRule repeat, std::int64_t maxAttempts = 2) {
+  ServedRoute route;
+  route.repeat = repeat;
+  route.maxAttempts = maxAttempts;
+  return route;
+}
+
+} // namespace
+
+TEST_CASE("verdict: only what can't have run goes elsewhere or is not run") {
+  const ServedRoute once = route(RepeatRule::Never);
+  AttemptReport notSent;
+  CHECK(decideNext(once, notSent, {0, 1, true}) == NextStep::Elsewhere);
+  CHECK(decideNext(once, notSent, {0, MaxTries, true}) == NextStep::SayNotRun);
+  CHECK(decideNext(once, notSent, {0, 1, false}) == NextStep::SayNotRun);
+  AttemptReport refused{true, true, true, false, 503};
+  CHECK(decideNext(once, refused, {0, 1, true}) == NextStep::Elsewhere);
+  CHECK(afterBudgetSpent(refused) == NextStep::SayNotRun);
+  AttemptReport broken{true, false, false, false, 0};
+  CHECK(decideNext(once, broken, {1, 1, true}) == NextStep::SayUnknown);
+  AttemptReport unsignedOk{true, true, false, false, 200};
+  CHECK(decideNext(once, unsignedOk, {1, 1, true}) == NextStep::SayUnknown);
+  AttemptReport failed{true, true, false, true, 500};
+  CHECK(decideNext(once, failed, {1, 1, true}) == NextStep::Relay);
+  AttemptReport good{true, true, false, true, 200};
+  CHECK(decideNext(once, good, {1, 1, true}) == NextStep::Relay);
+}
+
+TEST_CASE("verdict: what may run again does so within its attempts") {
+  const ServedRoute safe = route(RepeatRule::Always);
+  const AttemptReport broken{true, false, false, false, 0};
+  const AttemptReport failed{true, true, false, true, 500};
+  CHECK(decideNext(safe, broken, {1, 1, true}) == NextStep::Elsewhere);
+  CHECK(decideNext(safe, failed, {1, 1, true}) == NextStep::Elsewhere);
+  CHECK(decideNext(safe, broken, {2, 2, true}) == NextStep::SayUnknown);
+  CHECK(decideNext(safe, failed, {2, 2, true}) == NextStep::Relay);
+  ServedRoute stream = route(RepeatRule::Never);
+  stream.isStream = stream.isResumable = true;
+  CHECK(decideNext(stream, broken, {1, 1, true}) == NextStep::Elsewhere);
+}
+
+TEST_CASE("verdict: no report that may have run is ever told not run") {
+  rc::check([](bool sent, bool whole, bool isSigned, int status,
+               std::int64_t ran, std::int64_t tried, bool hasTime) {
+    const AttemptReport report{sent, whole, false, isSigned, status};
+    RC_PRE(sent);
+    for (const RepeatRule repeat : {RepeatRule::Never, RepeatRule::Always}) {
+      const NextStep step =
+          decideNext(route(repeat), report, {ran, tried, hasTime});
+      RC_ASSERT(step != NextStep::SayNotRun);
+      if (repeat == RepeatRule::Never)
+        RC_ASSERT(step != NextStep::Elsewhere);
+    }
+  });
+}
+
+TEST_CASE("registry: a leaving entry and a vanished one get no new work") {
+  UpstreamRegistry registry;
+  CHECK(registry.put("s/a", entry("a")) == UpstreamRegistry::Change::Joined);
+  registry.put("s/b", entry("b", 81));
+  REQUIRE(registry.pool("p").size() == 2);
+  UpstreamEntry leaving = entry("a");
+  leaving.isLeaving = true;
+  CHECK(registry.put("s/a", leaving) == UpstreamRegistry::Change::Left);
+  CHECK(registry.pool("p").size() == 1);
+  CHECK(registry.remove("s/b", at(5000)) == UpstreamRegistry::Change::Left);
+  CHECK(registry.pool("p").empty());
+}
+
+TEST_CASE("registry: entries that lapse in an outage stay until the grace ends") {
+  UpstreamRegistry registry;
+  registry.put("s/a", entry("a"));
+  registry.put("s/b", entry("b", 81));
+  registry.storeLost();
+  CHECK(registry.remove("s/a", at(1000)) == UpstreamRegistry::Change::Lapsed);
+  CHECK(registry.pool("p").size() == 2);
+  CHECK(registry.expire(at(9000)).empty());
+  registry.storeBack(at(9000));
+  CHECK(registry.remove("s/b", at(9100)) == UpstreamRegistry::Change::Lapsed);
+  CHECK(registry.put("s/b", entry("b", 81)) ==
+        UpstreamRegistry::Change::Updated);
+  CHECK(registry.expire(at(10900)).empty());
+  CHECK(registry.expire(at(11400)) == std::vector<std::string>{"s/a"});
+  REQUIRE(registry.pool("p").size() == 1);
+  CHECK(registry.pool("p")[0]->entry.id == "b");
+}
+
+TEST_CASE("registry: a new life under an old id starts with a clean record") {
+  UpstreamRegistry registry;
+  registry.put("s/a", entry("a", 80, 1));
+  const ServedUpstreamPtr old = registry.byId("a");
+  noteUnreachable(old.get(), at(1000));
+  CHECK_FALSE(old->takesWork(at(1000)));
+  registry.put("s/a", entry("a", 80, 2));
+  CHECK(registry.byId("a")->takesWork(at(1000)));
+  CHECK(old->isLeaving);
+}
+
+TEST_CASE("replica: items never go back, whatever the order of arrival") {
+  StoreReplica replica;
+  CHECK(replica.replace({{"a", "1", 3, false}, {"b", "1", 4, false}}, 5)
+            .size() == 2);
+  CHECK(replica.apply({{"a", "2", 8, false}}, 8).size() == 1);
+  CHECK(replica.apply({{"a", "1", 3, false}}, 8).empty());
+  CHECK(replica.apply({{"a", "", 9, true}}, 9).size() == 1);
+  CHECK(replica.apply({{"a", "2", 8, false}}, 9).empty());
+  CHECK(replica.revision() == 9);
+  CHECK(replica.snapshot().size() == 1);
+}
+
+TEST_CASE("replica: a whole read removes what it lacks, unless it is newer") {
+  StoreReplica replica;
+  replica.replace({{"a", "1", 3, false}, {"b", "1", 4, false}}, 5);
+  replica.apply({{"c", "1", 12, false}}, 12);
+  const auto news = replica.replace({{"b", "1", 4, false}}, 10);
+  REQUIRE(news.size() == 1);
+  CHECK(news[0].key == "a");
+  CHECK(news[0].removed);
+  CHECK(replica.snapshot().size() == 2);
+}
+
+TEST_CASE("replica: a peer catches up by changes or is told to take all") {
+  StoreReplica replica;
+  replica.replace({{"a", "1", 3, false}}, 5);
+  replica.apply({{"a", "2", 6, false}}, 6);
+  std::vector<StoreChange> changes;
+  REQUIRE(replica.changesAfter(5, &changes));
+  CHECK(changes.size() == 1);
+  CHECK_FALSE(replica.changesAfter(4, &changes));
+}
+
+TEST_CASE("replica: peers and the store in any order end up the same") {
+  rc::check([](const std::vector<std::uint8_t> &order) {
+    StoreReplica whole;
+    std::vector<StoreChange> history;
+    for (std::int64_t i = 1; i <= 12; ++i)
+      history.push_back({i % 2 != 0 ? "x" : "y", std::to_string(i), i,
+                         i % 5 == 0});
+    whole.apply(history, 12);
+    StoreReplica shuffled;
+    for (const std::uint8_t pick : order)
+      shuffled.apply({history[pick % history.size()]}, 0);
+    shuffled.apply(history, 12);
+    RC_ASSERT(shuffled.snapshot().size() == whole.snapshot().size());
+    for (std::size_t i = 0; i < whole.snapshot().size(); ++i)
+      RC_ASSERT(shuffled.snapshot()[i].value == whole.snapshot()[i].value);
+  });
+}
+
+TEST_CASE("repeats: a share of first attempts and a part of the slack") {
+  RepeatAllowance allowance;
+  allowance.setLimits({0.2, 50, std::chrono::seconds(10)});
+  allowance.setSharers(10);
+  int granted = 0;
+  while (allowance.spend("p", 1, at(1000)))
+    ++granted;
+  CHECK(granted == 3);
+  allowance.noteFirst("p", 100, at(1000));
+  while (allowance.spend("p", 1, at(1000)))
+    ++granted;
+  CHECK(granted == 17);
+  CHECK_FALSE(allowance.spend("p", 1, at(10900)));
+  CHECK(allowance.spend("p", 1, at(11100)));
+}
+
+TEST_CASE("repeats: all hosts together stay within the pool's budget") {
+  rc::check([](std::uint8_t hostCount, std::uint16_t firsts) {
+    const std::size_t hosts = hostCount % 40 + 1;
+    double granted = 0;
+    for (std::size_t i = 0; i < hosts; ++i) {
+      RepeatAllowance allowance;
+      allowance.setLimits({0.2, 58, std::chrono::seconds(10)});
+      allowance.setSharers(hosts);
+      allowance.noteFirst("p", firsts, at(0));
+      while (allowance.spend("p", 1, at(100)))
+        ++granted;
+    }
+    RC_ASSERT(granted <= 0.2 * firsts * static_cast<double>(hosts) + 58);
+  });
+}
+
+TEST_CASE("plan: stages wait for each other and pass over empty ones") {
+  StagePlan plan({{"a", {}, 0}, {"a", {}, 0}, {"b", {1}, 0}, {"c", {2}, 0}},
+                 {0, 1, 4, 2});
+  CHECK(plan.takeReady() == std::vector<std::uint32_t>{1});
+  CHECK(plan.chainFrom(1) == 3);
+  CHECK(plan.onDone(1, 0, {"r1"}).empty());
+  CHECK(plan.takeReady() == std::vector<std::uint32_t>{2});
+  CHECK(plan.inputsOf(2) == std::vector<std::string>{"r1"});
+  CHECK(plan.onDone(2, 0, {"r2", "r3", "r4", "r5"}) ==
+        std::vector<std::string>{"r1"});
+  CHECK(plan.takeReady() == std::vector<std::uint32_t>{3});
+  plan.onDone(3, 0, {"r6", "r7"});
+  CHECK(plan.isDone());
+  CHECK(plan.finalInputs() == std::vector<std::string>{"r6", "r7"});
+  CHECK(plan.takeHeld() == std::vector<std::string>{"r6", "r7"});
+}
+
+TEST_CASE("plan: a result that is gone sends its chain back to the start") {
+  StagePlan plan({{"a", {}, 0}, {"b", {0}, 0}, {"c", {1}, 0}}, {1, 1, 1});
+  plan.takeReady();
+  plan.onDone(0, 0, {"x"});
+  plan.takeReady();
+  plan.onDone(1, 0, {"y"});
+  CHECK(plan.takeReady() == std::vector<std::uint32_t>{2});
+  REQUIRE(plan.onInputsGone(2, 0));
+  CHECK(plan.takeReady() == std::vector<std::uint32_t>{0});
+  // A late answer of the round that is over is not taken for the new one.
+  CHECK(plan.onDone(0, 0, {"late"}) == std::vector<std::string>{"late"});
+  plan.onDone(0, plan.round(0), {"x2"});
+  CHECK(plan.takeReady() == std::vector<std::uint32_t>{1});
+  CHECK(plan.inputsOf(1) == std::vector<std::string>{"x2"});
+}
+
+TEST_CASE("plan: rounds are bounded") {
+  StagePlan plan({{"a", {}, 0}, {"b", {0}, 0}}, {1, 1});
+  bool goesOn = true;
+  for (int i = 0; i < 10 && goesOn; ++i) {
+    plan.takeReady();
+    plan.onDone(0, plan.round(0), {"x"});
+    plan.takeReady();
+    goesOn = plan.onInputsGone(1, plan.round(1));
+  }
+  CHECK_FALSE(goesOn);
+}
+
+TEST_CASE("placement: shared prompts go to few engines, spilling when busy") {
+  std::vector<ServedUpstreamPtr> engines;
+  for (int i = 0; i < 12; ++i) {
+    engines.push_back(std::make_shared<ServedUpstream>());
+    engines.back()->entry = entry("e" + std::to_string(i));
+  }
+  std::mt19937_64 random(1);
+  const std::vector<PromptPart> prompt = {
+      {"system", 500}, {"session", 4800}, {"own", 900}};
+  PlacementRequest request;
+  request.prompt = prompt;
+  request.promptTokens = 6200;
+  const EngineLimits limits{48, 700000};
+  const ServedUpstreamPtr first =
+      placeEngine(engines, limits, request, at(0), &random);
+  for (int i = 0; i < 20; ++i)
+    CHECK(placeEngine(engines, limits, request, at(0), &random) == first);
+  first->prefillTokens = 60000;
+  const ServedUpstreamPtr second =
+      placeEngine(engines, limits, request, at(0), &random);
+  CHECK(second != first);
+  first->prefillTokens = 0;
+  first->inFlight = 48;
+  CHECK(placeEngine(engines, limits, request, at(0), &random) != first);
+  first->inFlight = 0;
+  first->peers["other"] = {48, 0, 0, at(0)};
+  CHECK(placeEngine(engines, limits, request, at(100), &random) != first);
+  CHECK(placeEngine(engines, limits, request, at(9000), &random) == first);
+}
+
+TEST_CASE("placement: a failing plain upstream is passed over, not forgotten") {
+  std::vector<ServedUpstreamPtr> plain;
+  for (int i = 0; i < 2; ++i) {
+    plain.push_back(std::make_shared<ServedUpstream>());
+    plain.back()->entry = entry("p" + std::to_string(i));
+  }
+  for (int i = 0; i < 20; ++i)
+    noteFailed(plain[0].get(), at(i * 10));
+  std::mt19937_64 random(1);
+  PlacementRequest request;
+  for (int i = 0; i < 50; ++i)
+    CHECK(placePlain(plain, request, at(200), &random) == plain[1]);
+  noteUnreachable(plain[1].get(), at(200));
+  // With every upstream set aside one of them is still tried.
+  CHECK(placePlain(plain, request, at(201), &random) != nullptr);
+  const std::vector<std::string> avoid = {"p0", "p1"};
+  request.avoid = avoid;
+  CHECK(placePlain(plain, request, at(201), &random) == nullptr);
+}
--- a/src/auburnspring/decision/stage_plan.cpp
+++ b/src/auburnspring/decision/stage_plan.cpp
@@ -66,9 +66,8 @@
     const bool isNeeded =
         std::any_of(stages_.begin(), stages_.end(), [&](const PieceStage &s) {
           const auto i = static_cast<std::size_t>(&s - stages_.data());
-          return !states_[i].done &&
-                 std::find(s.after.begin(), s.after.end(), before) !=
-                     s.after.end();
+          return !states_[i].done && std::find(s.after.begin(), s.after.end(),
+                                               before) != s.after.end();
         });
     if (isNeeded)
       continue;
--- a/src/auburnspring/http/client_call.cpp
+++ b/src/auburnspring/http/client_call.cpp
@@ -100,14 +100,14 @@
     if (!stopped && !self->mayBeSent_)
       self->end(CallEnd::NotSent, "connect timeout");
   });
-  socket_.async_connect(address, [self = shared_from_this()](
-                                     asio::error_code failed) {
-    if (self->ended_)
-      return;
-    if (failed)
-      return self->end(CallEnd::NotSent, failed.message());
-    self->onConnected();
-  });
+  socket_.async_connect(
+      address, [self = shared_from_this()](asio::error_code failed) {
+        if (self->ended_)
+          return;
+        if (failed)
+          return self->end(CallEnd::NotSent, failed.message());
+        self->onConnected();
+      });
 }
 
 void ClientCall::Impl::onConnected() {
@@ -158,8 +158,8 @@
 
 void ClientCall::Impl::onHead() {
   ResponseHead head{reader_.status(), reader_.headers()};
-  skipping_ = head.status / 100 == 1 ||
-              (options_.isMine && !options_.isMine(head));
+  skipping_ =
+      head.status / 100 == 1 || (options_.isMine && !options_.isMine(head));
   if (!skipping_ && events_.onHead)
     events_.onHead(std::move(head));
 }
@@ -199,8 +199,8 @@
 
 ClientCall::ClientCall(asio::io_context &io, CallOptions options,
                        CallEvents events)
-    : impl_(std::make_shared<Impl>(io, std::move(options),
-                                   std::move(events))) {}
+    : impl_(std::make_shared<Impl>(io, std::move(options), std::move(events))) {
+}
 ClientCall::~ClientCall() { impl_->cancel(); }
 void ClientCall::start(const RequestHead &head, std::string_view body) {
   impl_->start(head, body);
--- a/src/auburnspring/http/message.cpp
+++ b/src/auburnspring/http/message.cpp
@@ -87,17 +87,17 @@
     if (equalsIgnoringCase(field.name, "connection"))
       for (std::string &name : listedNames(field.value))
         named.push_back(std::move(name));
-  fields_.erase(
-      std::remove_if(fields_.begin(), fields_.end(),
-                     [&](const Header &field) {
-                       return isHopByHop(field.name) ||
-                              std::any_of(named.begin(), named.end(),
-                                          [&](const std::string &name) {
-                                            return equalsIgnoringCase(
-                                                name, field.name);
-                                          });
-                     }),
-      fields_.end());
+  fields_.erase(std::remove_if(fields_.begin(), fields_.end(),
+                               [&](const Header &field) {
+                                 return isHopByHop(field.name) ||
+                                        std::any_of(
+                                            named.begin(), named.end(),
+                                            [&](const std::string &name) {
+                                              return equalsIgnoringCase(
+                                                  name, field.name);
+                                            });
+                               }),
+                fields_.end());
 }
 
 std::string_view reasonPhrase(int status) {
--- a/src/auburnspring/http/message_reader.cpp
+++ b/src/auburnspring/http/message_reader.cpp
@@ -3,11 +3,26 @@
 #include <absl/strings/str_cat.h>
 #include <http_parser.h>
 
+#include <algorithm>
+#include <cctype>
 #include <cstdint>
 #include <limits>
 
 namespace auburnspring::http {
 
+namespace {
+
+bool isToken(std::string_view name) {
+  constexpr std::string_view Marks = "!#$%&'*+-.^_`|~";
+  return !name.empty() &&
+         std::all_of(name.begin(), name.end(), [&](char c) {
+           return std::isalnum(static_cast<unsigned char>(c)) != 0 ||
+                  Marks.find(c) != std::string_view::npos;
+         });
+}
+
+} // namespace
+
 struct MessageReader::Impl {
   http_parser parser{};
   http_parser_settings settings{};
@@ -86,6 +101,11 @@
 
 int MessageReader::Impl::onHeadersComplete(http_parser *parser) {
   Impl &self = of(parser);
+  // The parser lets some names pass that another reader may take for a field
+  // that frames the body.
+  for (const Header &field : self.headers.all())
+    if (!isToken(field.name))
+      return -1;
   self.headWhole = true;
   // An offer to change the protocol is declined by going on in HTTP/1.1.
   parser->upgrade = 0;
@@ -135,7 +155,7 @@
 absl::StatusOr<std::size_t> MessageReader::feed(std::string_view bytes) {
   impl_->messageEnded = false;
   const std::size_t used = http_parser_execute(&impl_->parser, &impl_->settings,
-                                         bytes.data(), bytes.size());
+                                               bytes.data(), bytes.size());
   if (impl_->messageEnded) {
     http_parser_pause(&impl_->parser, 0);
     if (impl_->callbacks.onMessage)
--- a/src/auburnspring/http/server.cpp
+++ b/src/auburnspring/http/server.cpp
@@ -42,6 +42,12 @@
   return absl::OkStatus();
 }
 
+Endpoint Server::endpoint() const {
+  asio::error_code ignored;
+  const asio::ip::tcp::endpoint local = acceptor_.local_endpoint(ignored);
+  return {local.address().to_string(), local.port()};
+}
+
 void Server::accept() {
   acceptor_.async_accept(
       [this](asio::error_code error, asio::ip::tcp::socket socket) {
--- a/src/auburnspring/http/server_connection.cpp
+++ b/src/auburnspring/http/server_connection.cpp
@@ -81,7 +81,7 @@
 }
 
 void ServerConnection::onRead(std::size_t bytes) {
-  if (lingering_)
+  if (lingering_ || refused_)
     return read();
   unread_.append(buffer_.data(), bytes);
   parse();
@@ -89,7 +89,7 @@
 }
 
 void ServerConnection::parse() {
-  while (!closed_ && !lingering_ && !exchange_ && !unread_.empty()) {
+  while (!closed_ && !refused_ && !lingering_ && !exchange_ && !unread_.empty()) {
     if (!reader_.isInMessage()) {
       receivedAt_ = steadyNow();
       armTimer(server_->limits().headTimeout);
@@ -97,6 +97,8 @@
     const std::string bytes = std::move(unread_);
     unread_.clear();
     const absl::StatusOr<std::size_t> used = reader_.feed(bytes);
+    if (refused_)
+      return;
     if (!used.ok())
       return refuse(reader_.isHeadTooLarge() ? 431 : 400);
     if (bodyTooLarge_)
@@ -117,6 +119,8 @@
 }
 
 void ServerConnection::onRequest() {
+  if (bodyTooLarge_)
+    return refuse(413);
   timer_.cancel();
   if (!reader_.keepsAlive())
     closeAfterAnswer_ = true;
@@ -132,6 +136,7 @@
 
 void ServerConnection::refuse(int status) {
   closeAfterAnswer_ = true;
+  refused_ = true;
   exchange_ = std::make_shared<Exchange>(weak_from_this());
   unread_.clear();
   exchange_->respond({status, {}}, "");
@@ -185,9 +190,17 @@
       });
 }
 
+void ServerConnection::closeAfterFlush() {
+  closeAfterFlush_ = true;
+  if (inFlight_ == 0 && outgoing_.empty())
+    close();
+}
+
 void ServerConnection::onWritten() {
   if (!outgoing_.empty())
     return write();
+  if (closeAfterFlush_)
+    return close();
   if (!answerEnded_ || exchange_)
     return;
   answerEnded_ = false;
@@ -258,6 +271,14 @@
   connection->close();
 }
 
+void Exchange::abortAfterFlush() {
+  const std::shared_ptr<ServerConnection> connection = connection_.lock();
+  if (!connection || gone_)
+    return;
+  gone_ = true;
+  connection->closeAfterFlush();
+}
+
 std::size_t Exchange::pendingBytes() const {
   const std::shared_ptr<ServerConnection> connection = connection_.lock();
   return connection ? connection->pendingBytes() : 0;
--- a/src/auburnspring/http/server_connection.h
+++ b/src/auburnspring/http/server_connection.h
@@ -23,6 +23,8 @@
   /// Closes at once if no request is in progress, else after its answer.
   void closeWhenIdle(Duration linger);
 
+  void closeAfterFlush();
+
   void writeHead(ResponseHead response, bool chunked);
   void writeBody(std::string_view bytes);
   void finishAnswer();
@@ -61,7 +63,10 @@
   bool reading_ = false;
   bool lingering_ = false;
   bool closed_ = false;
+  bool closeAfterFlush_ = false;
   bool bodyTooLarge_ = false;
+  /// The connection ends with this server's own refusal.
+  bool refused_ = false;
 };
 
 } // namespace auburnspring::http
--- a/src/auburnspring/serving/caller_run.cpp
+++ b/src/auburnspring/serving/caller_run.cpp
@@ -110,8 +110,8 @@
   callerGone_ = true;
   // A request that may not be repeated runs on, so that it is not cut off in
   // the middle of its effect.
-  const bool runsOn = !route_->isStream && !route_->mayRunAgain() &&
-                      hasLiveAttempt();
+  const bool runsOn =
+      !route_->isStream && !route_->mayRunAgain() && hasLiveAttempt();
   if (runsOn)
     return;
   finish("caller_gone", 0, "caller_gone");
@@ -192,8 +192,8 @@
       std::max<std::int64_t>(0, request_.promptTokens - shared),
       request_.promptTokens + request_.outputTokens};
   Attempt::Events events;
-  auto attempt = std::make_unique<Attempt>(
-      *context_->io, context_->dialect, upstream, tokens);
+  auto attempt = std::make_unique<Attempt>(*context_->io, context_->dialect,
+                                           upstream, tokens);
   Attempt *raw = attempt.get();
   events.onBody = [this, raw](std::string_view bytes) { onBody(raw, bytes); };
   events.onEnd = [weak = weak_from_this(), raw] {
@@ -202,9 +202,8 @@
   };
   raw->setEvents(std::move(events));
   attempts_.push_back(std::move(attempt));
-  raw->start(context_->dialect->upstreamHead(exchange_->head,
-                                             termsFor(*upstream),
-                                             exchange_->body.size()),
+  raw->start(context_->dialect->upstreamHead(
+                 exchange_->head, termsFor(*upstream), exchange_->body.size()),
              exchange_->body, request_.id, now);
   if (route_->isStream)
     armStall();
@@ -241,10 +240,10 @@
   if (!streamBegun_) {
     streamBegun_ = true;
     attempt->notePromptRead();
-    noteAnswered(attempt->mutableUpstream(),
-                 steadyNow() - attempt->startedAt(), steadyNow());
-    context_->metrics.observeFirstEvent(
-        route_->name, steadyNow() - exchange_->receivedAt);
+    noteAnswered(attempt->mutableUpstream(), steadyNow() - attempt->startedAt(),
+                 steadyNow());
+    context_->metrics.observeFirstEvent(route_->name,
+                                        steadyNow() - exchange_->receivedAt);
     exchange_->begin(context_->dialect->callerHead(attempt->head()));
     releaseResults(plan_.takeHeld());
   }
@@ -355,14 +354,12 @@
 }
 
 void CallerRun::armHedge() {
-  if (!route_->mayRunAgain() || route_->maxAttempts < 2 ||
-      attempts_.size() > 1)
+  if (!route_->mayRunAgain() || route_->maxAttempts < 2 || attempts_.size() > 1)
     return;
   const Duration usual = attempts_.back()->upstream().latency * HedgeFactor;
   const Duration latest =
       std::max(EarliestHedge, std::min(route_->goal / 2, timeLeft() / 3));
-  paceTimer_.expires_after(
-      std::max(EarliestHedge, std::min(latest, usual)));
+  paceTimer_.expires_after(std::max(EarliestHedge, std::min(latest, usual)));
   paceTimer_.async_wait([weak = weak_from_this()](asio::error_code error) {
     const auto self = weak.lock();
     if (!error && self && !self->done_)
@@ -458,31 +455,30 @@
   const Duration took = now - exchange_->receivedAt;
   const std::string route = route_ == nullptr ? "" : route_->name;
   context_->metrics.countRequest(route, outcome, took);
-  logEvent(outcome == "complete" ? LogLevel::Info : LogLevel::Warning,
-           "request_done",
-           {{"id", request_.id},
-            {"route", route},
-            {"organisation", organisation_},
-            {"outcome", outcome},
-            {"status", status},
-            {"reason", std::string(reason)},
-            {"upstream", tried_.empty() ? std::string() : tried_.back()},
-            {"attempts", static_cast<unsigned long>(tried_.size())},
-            {"ms", toMillis(took)},
-            {"stages_ms", stagesDoneAt_ == TimePoint()
-                              ? 0.0
-                              : toMillis(stagesDoneAt_ -
-                                         exchange_->receivedAt)},
-            {"left_ms", toMillis(deadline_ - now)},
-            {"configuration", table_ ? static_cast<long>(table_->version) : 0},
-            {"upstreams_at",
-             static_cast<unsigned long>(context_->registry.changes())}});
+  logEvent(
+      outcome == "complete" ? LogLevel::Info : LogLevel::Warning,
+      "request_done",
+      {{"id", request_.id},
+       {"route", route},
+       {"organisation", organisation_},
+       {"outcome", outcome},
+       {"status", status},
+       {"reason", std::string(reason)},
+       {"upstream", tried_.empty() ? std::string() : tried_.back()},
+       {"attempts", static_cast<unsigned long>(tried_.size())},
+       {"ms", toMillis(took)},
+       {"stages_ms", stagesDoneAt_ == TimePoint()
+                         ? 0.0
+                         : toMillis(stagesDoneAt_ - exchange_->receivedAt)},
+       {"left_ms", toMillis(deadline_ - now)},
+       {"configuration", table_ ? static_cast<long>(table_->version) : 0},
+       {"upstreams_at",
+        static_cast<unsigned long>(context_->registry.changes())}});
   for (const auto &attempt : attempts_)
     attempt->cancel();
   // The run may be inside one of its own callbacks.
-  asio::post(*context_->io, [self = shared_from_this()] {
-    self->finished_(self.get());
-  });
+  asio::post(*context_->io,
+             [self = shared_from_this()] { self->finished_(self.get()); });
 }
 
 } // namespace auburnspring
--- a/src/auburnspring/serving/caller_stages.cpp
+++ b/src/auburnspring/serving/caller_stages.cpp
@@ -30,12 +30,11 @@
   for (const std::uint32_t stage : plan_.takeReady()) {
     const TimePoint now = steadyNow();
     const std::string pool = plan_.stages()[stage].pool;
-    context_->pieces->submit(
-        jobFor(stage),
-        [weak = weak_from_this(), pool, now](PieceOutcome outcome) {
-          if (const auto self = weak.lock())
-            self->onStage(std::move(outcome), pool, now);
-        });
+    context_->pieces->submit(jobFor(stage), [weak = weak_from_this(), pool,
+                                             now](PieceOutcome outcome) {
+      if (const auto self = weak.lock())
+        self->onStage(std::move(outcome), pool, now);
+    });
   }
   if (!plan_.isDone())
     return;
@@ -44,9 +43,9 @@
 }
 
 Duration CallerRun::restAfter(std::uint32_t stage) const {
-  Duration rest = FirstEventTime + std::chrono::milliseconds(
-                                       request_.promptTokens /
-                                       PrefillTokensPerMilli);
+  Duration rest =
+      FirstEventTime +
+      std::chrono::milliseconds(request_.promptTokens / PrefillTokensPerMilli);
   const auto later = static_cast<std::int64_t>(plan_.chainFrom(stage)) - 1;
   const ServedPool *pool = table_->pool(plan_.stages()[stage].pool);
   if (pool != nullptr && pool->batches)
@@ -102,8 +101,8 @@
   };
   switch (outcome.verdict) {
   case PieceVerdict::Done:
-    releaseResults(plan_.onDone(outcome.stage, outcome.round,
-                                std::move(outcome.results)));
+    releaseResults(
+        plan_.onDone(outcome.stage, outcome.round, std::move(outcome.results)));
     return submitReady();
   case PieceVerdict::InputsGone:
     if (!plan_.onInputsGone(outcome.stage, outcome.round))
--- a/src/auburnspring/serving/peer_network.cpp
+++ b/src/auburnspring/serving/peer_network.cpp
@@ -90,9 +90,9 @@
   if (found == peers_.end())
     return;
   found->second.suspectUntil = now + SuspectFor;
-  logEvent(LogLevel::Warning, "peer_suspected",
-           {{"peer", host},
-            {"silent_ms", toMillis(now - found->second.heardAt)}});
+  logEvent(
+      LogLevel::Warning, "peer_suspected",
+      {{"peer", host}, {"silent_ms", toMillis(now - found->second.heardAt)}});
 }
 
 bool PeerNetwork::isAlive(const Peer &peer, TimePoint now) const {
@@ -105,8 +105,8 @@
     return true;
   if (!peer.wasHeard)
     return now < peer.knownSince + NewcomerGrace;
-  return now < std::max(peer.heardAt + SilenceLimit,
-                        peer.knownSince + NewcomerGrace);
+  return now <
+         std::max(peer.heardAt + SilenceLimit, peer.knownSince + NewcomerGrace);
 }
 
 bool PeerNetwork::isAlive(const std::string &host, TimePoint now) const {
--- a/src/auburnspring/serving/piece_desk.cpp
+++ b/src/auburnspring/serving/piece_desk.cpp
@@ -121,8 +121,7 @@
     return peers_->send(host, std::move(message));
   }
   const auto found = outstanding_.find({outcome.requestId, outcome.stage});
-  if (found == outstanding_.end() ||
-      found->second.job.round != outcome.round) {
+  if (found == outstanding_.end() || found->second.job.round != outcome.round) {
     // The request is over, or another host was faster.
     return freeResults(outcome.results);
   }
@@ -271,8 +270,8 @@
               {"pieces", static_cast<unsigned long>(call.items)},
               {"why", text},
               {"ms", toMillis(steadyNow() - call.startedAt)}});
-  gathering(call.pool)
-      .gatherer.onBatchEnd(call.gathererNumber, how, results, steadyNow());
+  gathering(call.pool).gatherer.onBatchEnd(call.gathererNumber, how, results,
+                                           steadyNow());
   pump(call.pool);
 }
 
@@ -323,9 +322,8 @@
     const std::string &host = entry.second.gatherer;
     if (host == peers_->self() || !peers_->isAlive(host, now))
       continue;
-    const TimePoint heard =
-        std::max(peers_->lastHeard(host).value_or(TimePoint()),
-                 entry.second.sentAt);
+    const TimePoint heard = std::max(
+        peers_->lastHeard(host).value_or(TimePoint()), entry.second.sentAt);
     TimePoint &asked = pingedAt_[host];
     if (heard > asked && now > heard + AskAfter) {
       asked = now;
--- a/src/auburnspring/serving/serving_host.cpp
+++ b/src/auburnspring/serving/serving_host.cpp
@@ -61,15 +61,18 @@
                  [this](bool reachable, std::string_view why) {
                    onStoreReachable(reachable, why);
                  }}),
-      callers_(io, [this](std::shared_ptr<http::Exchange> exchange) {
-        onCaller(std::move(exchange));
-      }),
-      readiness_(io, [this](const std::shared_ptr<http::Exchange> &exchange) {
-        onReadiness(exchange.get());
-      }),
-      metrics_(io, [this](const std::shared_ptr<http::Exchange> &exchange) {
-        onMetrics(exchange.get());
-      }),
+      callers_(io,
+               [this](std::shared_ptr<http::Exchange> exchange) {
+                 onCaller(std::move(exchange));
+               }),
+      readiness_(io,
+                 [this](const std::shared_ptr<http::Exchange> &exchange) {
+                   onReadiness(exchange.get());
+                 }),
+      metrics_(io,
+               [this](const std::shared_ptr<http::Exchange> &exchange) {
+                 onMetrics(exchange.get());
+               }),
       tickTimer_(io) {
   context_.io = &io;
   context_.dialect = dialect;
@@ -372,8 +375,8 @@
     idleClosed_ = true;
     callers_.close();
   }
-  const bool isIdle = idleClosed_ && runs_.empty() &&
-                      callers_.connectionCount() == 0;
+  const bool isIdle =
+      idleClosed_ && runs_.empty() && callers_.connectionCount() == 0;
   if (!isIdle && since < settings_.stopTimeout - StopMargin)
     return;
   logEvent(LogLevel::Info, "stopped",
--- a/src/auburnspring/serving/store_follower.cpp
+++ b/src/auburnspring/serving/store_follower.cpp
@@ -64,8 +64,8 @@
   store_->readAll(EverythingPrefix, [this](absl::StatusOr<StoreRead> result) {
     if (!result.ok()) {
       setReachable(false, std::string(result.status().message()));
-      const Duration backoff = FirstRetry * (1 << std::min<std::int64_t>(
-                                                 failures_, 4));
+      const Duration backoff =
+          FirstRetry * (1 << std::min<std::int64_t>(failures_, 4));
       return scheduleRead(jittered(std::min(LongestRetry, backoff)));
     }
     setReachable(true, "read");
--- a/src/auburnspring/wire/peer_codec.cpp
+++ b/src/auburnspring/wire/peer_codec.cpp
@@ -254,10 +254,10 @@
 nlohmann::json toJson(const ReplicaReply &reply) {
   nlohmann::json changes = nlohmann::json::array();
   for (const StoreChange &change : reply.changes)
-    changes.push_back({change.key, nlohmann::json::binary(
-                                       {change.value.begin(),
-                                        change.value.end()}),
-                       change.revision, change.removed});
+    changes.push_back(
+        {change.key,
+         nlohmann::json::binary({change.value.begin(), change.value.end()}),
+         change.revision, change.removed});
   return {{"whole", reply.isWhole},
           {"rev", reply.revision},
           {"changes", std::move(changes)}};
