Store follower: a stop before the registration is answered takes the entry back

Cause: leave() removed the host's entry only if its write had been answered; a stop in between left it to the end of the lease, and peers handed jobs to it. Before: 'a stop is announced' did not end. After: it passes.

--- a/include/auburnspring/serving/store_follower.h
+++ b/include/auburnspring/serving/store_follower.h
@@ -52,6 +52,7 @@
   void watch();
   void scheduleRead(Duration after);
   void renew();
+  void removeEntry();
   void registerHost();
   void scheduleRenewal(Duration after);
   void setReachable(bool reachable, std::string_view why);
--- a/src/auburnspring/serving/store_follower.cpp
+++ b/src/auburnspring/serving/store_follower.cpp
@@ -126,6 +126,9 @@
                   registered_ = written.ok();
                   if (!written.ok())
                     lease_ = 0;
+                  // The host may have begun to stop meanwhile.
+                  if (leaving_)
+                    return removeEntry();
                   scheduleRenewal(jittered(RenewInterval));
                 });
   });
@@ -160,8 +163,11 @@
 void StoreFollower::leave() {
   leaving_ = true;
   renewTimer_.cancel();
-  if (!registered_)
-    return;
+  if (registered_)
+    removeEntry();
+}
+
+void StoreFollower::removeEntry() {
   ++calls_;
   store_->remove(options_.hostKey, [](absl::StatusOr<std::int64_t> result) {
     // The lease ends soon in any case.
