Gatherer: leaving hosts hand over, whole jobs, late jobs are told, pace in goals

Ruled out: the engines (busiest/mean 1.1, no preemption). Change: a host that leaves keeps what is in a call and hands the rest over with what it knows of the upstreams; room is free when the free call has ended; jobs go whole, begun ones first; what stays late is refused with the backlog as time to come back; a goal's estimate follows the measured pace. Conclusion: large batches are worth more than pieces without room.

--- a/include/auburnspring/decision/peer_message.h
+++ b/include/auburnspring/decision/peer_message.h
@@ -3,6 +3,7 @@
 
 #include "auburnspring/config/configuration.h"
 #include "auburnspring/config/settings.h"
+#include "auburnspring/decision/gathered_upstream.h"
 #include "auburnspring/decision/piece_job.h"
 #include "auburnspring/decision/store_item.h"
 
@@ -119,6 +120,9 @@
     Duration deadlineIn{0};
   };
   std::vector<Entry> jobs;
+  /// From a host that hands a whole pool over: what it knows of its upstreams.
+  std::string pool;
+  std::vector<GatheredUpstream> upstreams;
 };
 
 /// The request is over; its jobs are of no more use.
--- a/include/auburnspring/decision/piece_gatherer.h
+++ b/include/auburnspring/decision/piece_gatherer.h
@@ -1,6 +1,7 @@
 #ifndef AUBURNSPRING_DECISION_PIECE_GATHERER_H
 #define AUBURNSPRING_DECISION_PIECE_GATHERER_H
 
+#include "auburnspring/decision/gathered_upstream.h"
 #include "auburnspring/decision/piece_job.h"
 #include "auburnspring/decision/routing_table.h"
 #include "auburnspring/decision/served_upstream.h"
@@ -69,6 +70,13 @@
   /// Results that nobody needs any more; they no longer count as room.
   void release(const std::vector<std::string> &handles);
 
+  /// Takes the jobs that no call works on, to be handed to another host.
+  std::vector<PieceJob> takeIdleJobs();
+  /// What this host knows of the pool's upstreams, and the way to learn it from
+  /// the host that gathered before.
+  std::vector<GatheredUpstream> upstreamStates(TimePoint now) const;
+  void adopt(const std::vector<GatheredUpstream> &states, TimePoint now);
+
   /// Jobs that have ended since the last call.
   std::vector<PieceOutcome> takeOutcomes();
   /// Results that came for nobody, to be freed at their upstream.
@@ -128,6 +136,9 @@
     std::map<std::string, HeldResult> held;
     std::int64_t heldBytes = 0;
     std::int64_t promisedBytes = 0;
+    /// Bytes that others hold there, as far as it has shown, and since when.
+    std::int64_t foreignBytes = 0;
+    TimePoint foreignSince;
   };
 
   static JobKey keyOf(const PieceJob &job);
@@ -136,8 +147,12 @@
   std::size_t usableWorkers(TimePoint now) const;
   Worker *pickWorker(TimePoint now);
   bool canServe(const Worker &worker, TimePoint now) const;
+  std::int64_t freeBytes(const Worker &worker, TimePoint now) const;
+  bool isInTime(const Job &job, TimePoint now) const;
   std::vector<Job *> ranked(TimePoint now);
-  PieceBatch fill(Worker *worker, std::vector<Job *> order, TimePoint now);
+  PieceBatch fill(Worker *worker, const std::vector<Job *> &order,
+                  TimePoint now);
+  static std::string lifeOf(const ServedUpstream &upstream);
   void takePieces(Job *job, std::size_t room, Worker *worker, PieceBatch *batch,
                   Call *call, TimePoint now);
   void dropHopeless(TimePoint now);
@@ -160,6 +175,7 @@
   std::uint64_t nextBatch_ = 1;
   std::uint64_t piecesSent_ = 0;
   double typicalBatch_ = 1;
+  Duration lastBacklog_{0};
   TimePoint lastDispatch_;
 };
 
--- a/include/auburnspring/decision/piece_job.h
+++ b/include/auburnspring/decision/piece_job.h
@@ -52,6 +52,8 @@
   std::uint32_t stage = 0;
   std::uint32_t round = 0;
   PieceVerdict verdict = PieceVerdict::Failed;
+  /// Expected wait of a new job in the pool.
+  Duration backlog{0};
   /// One result a piece, in order, if done.
   std::vector<std::string> results;
 };
--- a/include/auburnspring/serving/caller_run.h
+++ b/include/auburnspring/serving/caller_run.h
@@ -40,7 +40,9 @@
   void submitReady();
   void onStage(PieceOutcome outcome, const std::string &pool, TimePoint since);
   PieceJob jobFor(std::uint32_t stage) const;
+  Duration stageTime(std::uint32_t stage) const;
   Duration restAfter(std::uint32_t stage) const;
+  Duration returnAfter(Duration backlog) const;
   double density(std::uint32_t stage) const;
   void releaseResults(const std::vector<std::string> &results);
 
@@ -81,6 +83,8 @@
   std::int64_t priority_ = 0;
   CallerRequest request_;
   TimePoint deadline_;
+  /// An answer, or a stream's first event, is in time up to here.
+  TimePoint goalAt_;
   StagePlan plan_;
   TimePoint stagesDoneAt_;
   std::vector<std::unique_ptr<Attempt>> attempts_;
--- a/include/auburnspring/serving/peer_network.h
+++ b/include/auburnspring/serving/peer_network.h
@@ -45,6 +45,8 @@
   /// Hosts that take work now, this one included unless it leaves.
   std::vector<std::string> alive(TimePoint now) const;
   bool isAlive(const std::string &host, TimePoint now) const;
+  /// The host is heard, whether or not it takes new work.
+  bool isHeard(const std::string &host, TimePoint now) const;
   std::optional<TimePoint> lastHeard(const std::string &host) const;
 
   /// Host that a subject falls to among those alive; this host if alone.
--- a/include/auburnspring/serving/piece_desk.h
+++ b/include/auburnspring/serving/piece_desk.h
@@ -48,6 +48,9 @@
   void onRelease(const PieceRelease &message);
   void onOutcomes(PieceOutcomes message);
 
+  /// This host leaves: what no call works on goes to the next host.
+  void handOver();
+
   /// The store's list of upstreams has changed.
   void onUpstreamsChanged();
   /// Looks after jobs whose gathering host is silent.
@@ -98,7 +101,7 @@
   void deliver(PieceOutcome outcome);
   Gathering &gathering(const std::string &pool);
   void pump(const std::string &pool);
-  void startBatch(const std::string &pool, PieceBatch batch);
+  void startBatch(const std::string &pool, const PieceBatch &batch);
   void endBatch(std::uint64_t number, http::CallEnd end, std::string_view why);
   void schedulePump(Gathering *gathering, TimePoint now);
   void freeResults(const std::vector<std::string> &results);
--- a/include/auburnspring/serving/serving_context.h
+++ b/include/auburnspring/serving/serving_context.h
@@ -1,6 +1,7 @@
 #ifndef AUBURNSPRING_SERVING_SERVING_CONTEXT_H
 #define AUBURNSPRING_SERVING_SERVING_CONTEXT_H
 
+#include "auburnspring/decision/pace.h"
 #include "auburnspring/decision/repeat_allowance.h"
 #include "auburnspring/decision/routing_table.h"
 #include "auburnspring/decision/upstream_registry.h"
@@ -12,6 +13,8 @@
 
 #include <memory>
 #include <random>
+#include <string>
+#include <unordered_map>
 
 namespace auburnspring {
 
@@ -25,6 +28,13 @@
   RepeatAllowance repeats;
   PieceDesk *pieces = nullptr;
   ServingMetrics metrics;
+  /// Time of a stage from its hand-over to its results, by pool, and of an
+  /// attempt to its first event beyond the reading of its prompt.
+  Pace stagePace;
+  Pace firstEventPace;
+  /// Longest time that a caller of each route has had; one that has less comes
+  /// back after a first attempt.
+  std::unordered_map<std::string, Duration> longestWait;
   std::mt19937_64 random;
 };
 
--- a/src/auburnspring/decision/piece_gatherer.cpp
+++ b/src/auburnspring/decision/piece_gatherer.cpp
@@ -27,6 +27,12 @@
 constexpr double LateShare = 0.15;
 /// One place of so many in a batch goes to the oldest job.
 constexpr std::size_t PlacesPerOldest = 6;
+/// A job that has been late for so long is told so: it was only waiting for
+/// places that nobody else needed.
+constexpr Duration LateLimit = std::chrono::milliseconds(400);
+/// Results that others hold at an upstream are taken to be freed within this
+/// time.
+constexpr Duration ForeignLife = std::chrono::milliseconds(1500);
 /// Share of an upstream's room that results may fill by this host's count.
 constexpr double RoomShare = 0.95;
 
@@ -41,6 +47,10 @@
   return {job.host, {job.requestId, job.stage}};
 }
 
+std::string PieceGatherer::lifeOf(const ServedUpstream &upstream) {
+  return upstream.entry.id + "/" + std::to_string(upstream.entry.bornMillis);
+}
+
 void PieceGatherer::setUpstreams(std::vector<ServedUpstreamPtr> upstreams) {
   std::map<std::string, Worker> next;
   for (ServedUpstreamPtr &upstream : upstreams) {
@@ -129,25 +139,44 @@
   return best;
 }
 
+std::int64_t PieceGatherer::freeBytes(const Worker &worker,
+                                      TimePoint now) const {
+  const auto room = static_cast<std::int64_t>(
+      static_cast<double>(limits_.roomBytes) * RoomShare);
+  const double age = std::min(1.0, toMillis(now - worker.foreignSince) /
+                                       toMillis(ForeignLife));
+  const auto foreign = static_cast<std::int64_t>(
+      static_cast<double>(worker.foreignBytes) * (1 - age));
+  return room - worker.heldBytes - worker.promisedBytes - foreign;
+}
+
+bool PieceGatherer::isInTime(const Job &job, TimePoint now) const {
+  return now + expectedCall(static_cast<std::size_t>(typicalBatch_)) <=
+         job.job.goalAt;
+}
+
 std::vector<PieceGatherer::Job *> PieceGatherer::ranked(TimePoint now) {
   struct Ranked {
     Job *job;
     double rank;
   };
   std::vector<Ranked> order;
-  const Duration call = expectedCall(static_cast<std::size_t>(typicalBatch_));
   for (auto &entry : jobs_) {
     Job &job = entry.second;
     if (job.waiting.empty())
       continue;
-    const bool inTime = now + call <= job.job.goalAt;
-    order.push_back({&job, job.job.density * (inTime ? 1.0 : LateShare)});
+    // A job that has begun costs only its remaining pieces.
+    const double begun = static_cast<double>(job.job.pieces) /
+                         static_cast<double>(job.waiting.size());
+    order.push_back({&job, job.job.density * begun *
+                               (isInTime(job, now) ? 1.0 : LateShare)});
   }
   std::stable_sort(
       order.begin(), order.end(), [](const Ranked &a, const Ranked &b) {
         return a.rank != b.rank ? a.rank > b.rank : a.job->since < b.job->since;
       });
   std::vector<Job *> jobs;
+  jobs.reserve(order.size());
   for (const Ranked &entry : order)
     jobs.push_back(entry.job);
   return jobs;
@@ -155,12 +184,15 @@
 
 void PieceGatherer::takePieces(Job *job, std::size_t room, Worker *worker,
                                PieceBatch *batch, Call *call, TimePoint now) {
-  const auto bytesAllowed = static_cast<std::int64_t>(
-      static_cast<double>(limits_.roomBytes) * RoomShare);
+  // A job is split only if it can't be helped: half a job is of no use yet.
+  const bool fits = job->waiting.size() <= room - batch->items.size();
+  if (!fits && !batch->items.empty())
+    return;
   while (!job->waiting.empty() && batch->items.size() < room) {
-    if (limits_.roomBytes > 0 && !batch->items.empty() &&
-        worker->heldBytes + worker->promisedBytes + job->job.resultBytes >
-            bytesAllowed)
+    // A result that is larger than the whole room is tried at an empty one.
+    const bool isEmpty = worker->heldBytes + worker->promisedBytes == 0;
+    if (limits_.roomBytes > 0 && !isEmpty &&
+        job->job.resultBytes > freeBytes(*worker, now))
       return;
     const std::uint32_t piece = job->waiting.back();
     job->waiting.pop_back();
@@ -172,14 +204,13 @@
   }
 }
 
-PieceBatch PieceGatherer::fill(Worker *worker, std::vector<Job *> order,
+PieceBatch PieceGatherer::fill(Worker *worker, const std::vector<Job *> &order,
                                TimePoint now) {
   PieceBatch batch;
   batch.number = nextBatch_++;
   batch.upstream = worker->upstream;
   Call call;
-  call.upstream = worker->upstream->entry.id + "/" +
-                  std::to_string(worker->upstream->entry.bornMillis);
+  call.upstream = lifeOf(*worker->upstream);
   call.since = now;
   // One piece is enough to learn whether a slow upstream has recovered.
   const auto size = worker->slowness >= SlowFactor
@@ -187,12 +218,23 @@
                         : static_cast<std::size_t>(limits_.batch);
   const std::size_t forOldest = size / PlacesPerOldest;
   for (Job *job : order)
-    takePieces(job, size - forOldest, worker, &batch, &call, now);
-  std::stable_sort(order.begin(), order.end(), [](const Job *a, const Job *b) {
-    return a->since < b->since;
-  });
+    takePieces(job, std::max<std::size_t>(size - forOldest, 1), worker, &batch,
+               &call, now);
+  // What is left goes to those in time whose goal is nearest, then to the rest
+  // by rank.
+  std::vector<Job *> urgent;
+  for (Job *job : order)
+    if (isInTime(*job, now))
+      urgent.push_back(job);
+  std::stable_sort(
+      urgent.begin(), urgent.end(),
+      [](const Job *a, const Job *b) { return a->job.goalAt < b->job.goalAt; });
+  for (Job *job : urgent)
+    takePieces(job, size, worker, &batch, &call, now);
   for (Job *job : order)
     takePieces(job, size, worker, &batch, &call, now);
+  if (batch.items.empty())
+    return batch;
   call.expected = expectedCall(batch.items.size());
   ++worker->calls;
   worker->lastCallAt = now;
@@ -205,10 +247,15 @@
 
 void PieceGatherer::dropHopeless(TimePoint now) {
   std::vector<JobKey> hopeless;
-  for (const auto &entry : jobs_)
-    if (!entry.second.waiting.empty() &&
-        now + limits_.callTime > entry.second.job.deadline)
+  for (const auto &entry : jobs_) {
+    const Job &job = entry.second;
+    if (job.waiting.empty())
+      continue;
+    const TimePoint lateFrom =
+        std::max(job.since, job.job.goalAt - limits_.callTime);
+    if (now + limits_.callTime > job.job.deadline || now > lateFrom + LateLimit)
       hopeless.push_back(entry.first);
+  }
   for (const JobKey &key : hopeless)
     finish(key, PieceVerdict::Hopeless);
 }
@@ -230,6 +277,7 @@
 
 std::vector<PieceBatch> PieceGatherer::dispatch(TimePoint now) {
   std::vector<PieceBatch> batches;
+  lastBacklog_ = backlog(now);
   dropHopeless(now);
   requeueOverdue(now);
   forgetExpired(now);
@@ -243,7 +291,13 @@
     Worker *worker = pickWorker(now);
     if (worker == nullptr)
       break;
-    batches.push_back(fill(worker, ranked(now), now));
+    PieceBatch batch = fill(worker, ranked(now), now);
+    if (batch.items.empty()) {
+      // It has no room for any piece that waits.
+      worker->pausedUntil = now + PauseWhenFull;
+      continue;
+    }
+    batches.push_back(std::move(batch));
     lastDispatch_ = now;
   }
   return batches;
@@ -320,12 +374,9 @@
       finish(item.job, PieceVerdict::InputsGone);
     return;
   }
+  // Smaller batches would cost more than the pieces that find no room now and
+  // then, so that the estimate of the room stays as announced.
   case PieceResult::Kind::NoRoom:
-    if (worker != nullptr)
-      worker->pausedUntil =
-          std::max(worker->pausedUntil,
-                   worker->lastCallAt + limits_.callTime + limits_.callTime);
-    return requeue(item, true);
   case PieceResult::Kind::Error:
     return requeue(item, true);
   }
@@ -361,8 +412,13 @@
     return;
   Job job = std::move(found->second);
   jobs_.erase(found);
-  PieceOutcome outcome{job.job.host,  job.job.requestId, job.job.stage,
-                       job.job.round, verdict,           {}};
+  PieceOutcome outcome;
+  outcome.host = job.job.host;
+  outcome.requestId = job.job.requestId;
+  outcome.stage = job.job.stage;
+  outcome.round = job.job.round;
+  outcome.verdict = verdict;
+  outcome.backlog = lastBacklog_;
   if (verdict == PieceVerdict::Done)
     outcome.results = std::move(job.results);
   else
@@ -397,14 +453,57 @@
     }
 }
 
+std::vector<PieceJob> PieceGatherer::takeIdleJobs() {
+  std::vector<PieceJob> idle;
+  for (auto it = jobs_.begin(); it != jobs_.end();) {
+    if (it->second.waiting.size() != it->second.job.pieces) {
+      ++it;
+      continue;
+    }
+    idle.push_back(std::move(it->second.job));
+    it = jobs_.erase(it);
+  }
+  return idle;
+}
+
+std::vector<GatheredUpstream>
+PieceGatherer::upstreamStates(TimePoint now) const {
+  std::vector<GatheredUpstream> states;
+  for (const auto &entry : workers_) {
+    GatheredUpstream state{entry.first, Duration(0), entry.second.heldBytes,
+                           entry.second.slowness};
+    for (const auto &call : calls_)
+      if (call.second.upstream == entry.first)
+        state.busyFor = std::max(
+            state.busyFor,
+            call.second.since +
+                scaled(call.second.expected, entry.second.slowness) - now);
+    states.push_back(std::move(state));
+  }
+  return states;
+}
+
+void PieceGatherer::adopt(const std::vector<GatheredUpstream> &states,
+                          TimePoint now) {
+  for (const GatheredUpstream &state : states) {
+    const auto found = workers_.find(state.life);
+    if (found == workers_.end() || found->second.calls > 0)
+      continue;
+    Worker &worker = found->second;
+    worker.pausedUntil = std::max(worker.pausedUntil, now + state.busyFor);
+    worker.foreignBytes = state.heldBytes;
+    worker.foreignSince = now;
+    worker.slowness = std::max(worker.slowness, state.slowness);
+    worker.lastCallAt = now;
+  }
+}
+
 std::vector<PieceOutcome> PieceGatherer::takeOutcomes() {
   return std::exchange(outcomes_, {});
 }
 
 std::vector<std::string> PieceGatherer::takeOrphans() {
-  std::vector<std::string> orphans = std::exchange(orphans_, {});
-  release(orphans);
-  return orphans;
+  return std::exchange(orphans_, {});
 }
 
 std::optional<TimePoint> PieceGatherer::nextWake(TimePoint now) const {
--- a/src/auburnspring/decision/store_replica.cpp
+++ b/src/auburnspring/decision/store_replica.cpp
@@ -35,6 +35,7 @@
                       std::int64_t revision) {
   std::vector<StoreChange> changes = items;
   std::vector<std::string> present;
+  present.reserve(items.size());
   for (const StoreChange &item : items)
     present.push_back(item.key);
   std::sort(present.begin(), present.end());
--- a/src/auburnspring/http/message_reader.cpp
+++ b/src/auburnspring/http/message_reader.cpp
@@ -14,11 +14,10 @@
 
 bool isToken(std::string_view name) {
   constexpr std::string_view Marks = "!#$%&'*+-.^_`|~";
-  return !name.empty() &&
-         std::all_of(name.begin(), name.end(), [&](char c) {
-           return std::isalnum(static_cast<unsigned char>(c)) != 0 ||
-                  Marks.find(c) != std::string_view::npos;
-         });
+  return !name.empty() && std::all_of(name.begin(), name.end(), [&](char c) {
+    return std::isalnum(static_cast<unsigned char>(c)) != 0 ||
+           Marks.find(c) != std::string_view::npos;
+  });
 }
 
 } // namespace
--- a/src/auburnspring/http/server_connection.cpp
+++ b/src/auburnspring/http/server_connection.cpp
@@ -89,7 +89,8 @@
 }
 
 void ServerConnection::parse() {
-  while (!closed_ && !refused_ && !lingering_ && !exchange_ && !unread_.empty()) {
+  while (!closed_ && !refused_ && !lingering_ && !exchange_ &&
+         !unread_.empty()) {
     if (!reader_.isInMessage()) {
       receivedAt_ = steadyNow();
       armTimer(server_->limits().headTimeout);
--- a/src/auburnspring/serving/caller_run.cpp
+++ b/src/auburnspring/serving/caller_run.cpp
@@ -28,6 +28,8 @@
 constexpr std::int64_t StallGaps = 4;
 /// Without a first event for this much longer than the goal it goes elsewhere.
 constexpr Duration FirstEventSlack = std::chrono::milliseconds(1500);
+/// Prompt tokens that an engine reads in a millisecond.
+constexpr std::int64_t PrefillTokensPerMilli = 100;
 /// Bytes that a slow caller may leave unread before its stream is given up.
 constexpr std::size_t MaxPendingBytes = 2 << 20;
 /// Longest answer that is taken in whole before it is handed on.
@@ -85,6 +87,12 @@
   const Duration wait =
       std::min(route_->timeout, request_.timeLeft.value_or(route_->timeout));
   deadline_ = exchange_->receivedAt + wait;
+  // A caller that comes back has less time left than a new one; its goal runs
+  // from its first attempt.
+  Duration &longest = context_->longestWait[route_->name];
+  longest = std::max(longest, request_.timeLeft.value_or(wait));
+  const Duration spent = longest - request_.timeLeft.value_or(longest);
+  goalAt_ = exchange_->receivedAt + route_->goal - spent;
   chooseUpstreamPool();
   pool_ = table_->pool(poolName_);
   return true;
@@ -242,6 +250,12 @@
     attempt->notePromptRead();
     noteAnswered(attempt->mutableUpstream(), steadyNow() - attempt->startedAt(),
                  steadyNow());
+    const Duration reading = std::chrono::milliseconds(request_.promptTokens /
+                                                       PrefillTokensPerMilli);
+    context_->firstEventPace.observe(
+        poolName_,
+        std::max(Duration(0), steadyNow() - attempt->startedAt() - reading),
+        steadyNow());
     context_->metrics.observeFirstEvent(route_->name,
                                         steadyNow() - exchange_->receivedAt);
     exchange_->begin(context_->dialect->callerHead(attempt->head()));
--- a/src/auburnspring/serving/caller_stages.cpp
+++ b/src/auburnspring/serving/caller_stages.cpp
@@ -1,6 +1,7 @@
 #include "auburnspring/serving/caller_run.h"
 
 #include "auburnspring/base/clock.h"
+#include "auburnspring/base/log.h"
 #include "auburnspring/decision/request_value.h"
 
 #include <algorithm>
@@ -9,7 +10,11 @@
 
 namespace {
 
-constexpr Duration DefaultRetryAfter = std::chrono::milliseconds(500);
+/// When a caller may come back whose stages could not be run: after the
+/// backlog, within these bounds, spread so that not all come back at once.
+constexpr Duration SoonestReturn = std::chrono::milliseconds(500);
+constexpr Duration LatestReturn = std::chrono::milliseconds(3000);
+constexpr double ReturnSpread = 0.5;
 /// Wait for a batch to form and the way there and back, for each stage.
 constexpr Duration StageWait = std::chrono::milliseconds(70);
 /// From the end of the stages to the first event, without reading the prompt.
@@ -17,6 +22,20 @@
 /// Prompt tokens that an engine reads in a millisecond.
 constexpr std::int64_t PrefillTokensPerMilli = 100;
 
+const char *verdictName(PieceVerdict verdict) {
+  switch (verdict) {
+  case PieceVerdict::Done:
+    return "done";
+  case PieceVerdict::InputsGone:
+    return "inputs_gone";
+  case PieceVerdict::Hopeless:
+    return "hopeless";
+  case PieceVerdict::Failed:
+    return "failed";
+  }
+  return "unknown";
+}
+
 } // namespace
 
 void CallerRun::startStages() {
@@ -42,17 +61,39 @@
   dispatch();
 }
 
+Duration CallerRun::stageTime(std::uint32_t stage) const {
+  const std::string &name = plan_.stages()[stage].pool;
+  const ServedPool *pool = table_->pool(name);
+  if (pool == nullptr || !pool->batches || plan_.pieces(stage) == 0)
+    return Duration(0);
+  const BatchLimits &limits = *pool->batches;
+  return std::max(limits.callTime + StageWait +
+                      limits.itemTime * (limits.batch / 3),
+                  context_->stagePace.expect(name, steadyNow()));
+}
+
 Duration CallerRun::restAfter(std::uint32_t stage) const {
-  Duration rest =
-      FirstEventTime +
+  const Duration prefill =
       std::chrono::milliseconds(request_.promptTokens / PrefillTokensPerMilli);
-  const auto later = static_cast<std::int64_t>(plan_.chainFrom(stage)) - 1;
-  const ServedPool *pool = table_->pool(plan_.stages()[stage].pool);
-  if (pool != nullptr && pool->batches)
-    rest += (pool->batches->callTime + StageWait +
-             pool->batches->itemTime * (pool->batches->batch / 3)) *
-            later;
-  return rest;
+  const Duration first = std::max(
+      FirstEventTime, context_->firstEventPace.expect(poolName_, steadyNow()));
+  // The longest chain of stages that come after this one.
+  std::vector<Duration> ends(plan_.stages().size(), Duration(0));
+  Duration longest(0);
+  for (std::uint32_t i = stage + 1; i < plan_.stages().size(); ++i) {
+    const std::vector<std::uint32_t> &after = plan_.stages()[i].after;
+    bool follows = false;
+    for (const std::uint32_t before : after)
+      if (before == stage || ends[before] > Duration(0)) {
+        follows = true;
+        ends[i] = std::max(ends[i], ends[before]);
+      }
+    if (!follows)
+      continue;
+    ends[i] += stageTime(i);
+    longest = std::max(longest, ends[i]);
+  }
+  return longest + prefill + first;
 }
 
 double CallerRun::density(std::uint32_t stage) const {
@@ -84,21 +125,41 @@
   job.inputs = plan_.inputsOf(stage);
   job.resultBytes = plan_.stages()[stage].resultBytes;
   const Duration rest = restAfter(stage);
-  job.goalAt = exchange_->receivedAt + route_->goal - rest;
+  job.goalAt = goalAt_ - rest;
   job.deadline = deadline_ - rest;
   job.density = density(stage);
   return job;
 }
 
+Duration CallerRun::returnAfter(Duration backlog) const {
+  const Duration base = std::clamp(backlog * 2, SoonestReturn, LatestReturn);
+  std::uniform_real_distribution<double> spread(1, 1 + ReturnSpread);
+  return Duration(static_cast<std::int64_t>(static_cast<double>(base.count()) *
+                                            spread(context_->random)));
+}
+
 void CallerRun::onStage(PieceOutcome outcome, const std::string &pool,
                         TimePoint since) {
   if (done_)
     return;
-  context_->metrics.observeStage(pool, steadyNow() - since);
-  const auto giveUp = [this](std::string_view reason) {
-    streamBegun_ ? abortStream(reason)
-                 : refuse(ran_ > 0 ? 502 : 503, reason, DefaultRetryAfter);
+  const TimePoint now = steadyNow();
+  context_->metrics.observeStage(pool, now - since);
+  context_->stagePace.observe(pool, now - since, now);
+  const auto giveUp = [this, &outcome](std::string_view reason) {
+    streamBegun_
+        ? abortStream(reason)
+        : refuse(ran_ > 0 ? 502 : 503, reason, returnAfter(outcome.backlog));
   };
+  if (outcome.verdict != PieceVerdict::Done)
+    logEvent(LogLevel::Info, "stage_given_up",
+             {{"id", request_.id},
+              {"pool", pool},
+              {"stage", static_cast<unsigned long>(outcome.stage)},
+              {"verdict", verdictName(outcome.verdict)},
+              {"waited_ms", toMillis(now - since)},
+              {"backlog_ms", toMillis(outcome.backlog)},
+              {"goal_in_ms", toMillis(goalAt_ - now)},
+              {"pace_ms", toMillis(context_->stagePace.expect(pool, now))}});
   switch (outcome.verdict) {
   case PieceVerdict::Done:
     releaseResults(
--- a/src/auburnspring/serving/peer_network.cpp
+++ b/src/auburnspring/serving/peer_network.cpp
@@ -116,6 +116,17 @@
   return found != peers_.end() && isAlive(found->second, now);
 }
 
+bool PeerNetwork::isHeard(const std::string &host, TimePoint now) const {
+  if (host == options_.host)
+    return true;
+  const auto found = peers_.find(host);
+  if (found == peers_.end() || now < found->second.suspectUntil)
+    return false;
+  return isAlive(found->second, now) ||
+         (found->second.isLeaving &&
+          now < found->second.heardAt + SilenceLimit);
+}
+
 std::vector<std::string> PeerNetwork::alive(TimePoint now) const {
   std::vector<std::string> hosts;
   if (!selfLeaving_)
--- a/src/auburnspring/serving/piece_desk.cpp
+++ b/src/auburnspring/serving/piece_desk.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 /// Results are freed together, so that one call serves many.
-constexpr Duration FreeInterval = std::chrono::milliseconds(60);
+constexpr Duration FreeInterval = std::chrono::milliseconds(30);
 constexpr Duration FreeTimeout = std::chrono::milliseconds(1000);
 /// A batch whose upstream is silent for so many times its expected duration is
 /// given up; its pieces went elsewhere long before.
@@ -79,11 +79,38 @@
   peers_->send(gatherer, std::move(message));
 }
 
+void PieceDesk::handOver() {
+  const TimePoint now = steadyNow();
+  for (auto &entry : gatherings_) {
+    const std::string next = peers_->preferred(entry.first, now);
+    if (next == peers_->self())
+      continue;
+    PieceGatherer &gatherer = entry.second->gatherer;
+    PieceSubmit message;
+    message.pool = entry.first;
+    message.upstreams = gatherer.upstreamStates(now);
+    for (PieceJob &job : gatherer.takeIdleJobs()) {
+      const Duration goalIn = job.goalAt - now;
+      const Duration deadlineIn = job.deadline - now;
+      message.jobs.push_back({std::move(job), goalIn, deadlineIn});
+    }
+    logEvent(LogLevel::Info, "gathering_handed_over",
+             {{"pool", entry.first},
+              {"to", next},
+              {"jobs", static_cast<unsigned long>(message.jobs.size())}});
+    peers_->send(next, std::move(message));
+  }
+}
+
 void PieceDesk::onSubmit(const std::string &from, const PieceSubmit &message) {
   const TimePoint now = steadyNow();
+  if (!message.upstreams.empty())
+    gathering(message.pool).gatherer.adopt(message.upstreams, now);
   for (const PieceSubmit::Entry &entry : message.jobs) {
     PieceJob job = entry.job;
-    job.host = from;
+    // Jobs that are handed over still belong to the host that serves them.
+    if (job.host.empty())
+      job.host = from;
     job.goalAt = now + entry.goalIn;
     job.deadline = now + entry.deadlineIn;
     const std::string pool = job.pool;
@@ -102,9 +129,6 @@
 }
 
 void PieceDesk::onRelease(const PieceRelease &message) {
-  const auto found = gatherings_.find(message.pool);
-  if (found != gatherings_.end())
-    found->second->gatherer.release(message.results);
   freeResults(message.results);
 }
 
@@ -158,8 +182,8 @@
 void PieceDesk::pump(const std::string &pool) {
   const TimePoint now = steadyNow();
   Gathering &here = gathering(pool);
-  for (PieceBatch &batch : here.gatherer.dispatch(now))
-    startBatch(pool, std::move(batch));
+  for (const PieceBatch &batch : here.gatherer.dispatch(now))
+    startBatch(pool, batch);
   freeResults(here.gatherer.takeOrphans());
   for (PieceOutcome &outcome : here.gatherer.takeOutcomes())
     deliver(std::move(outcome));
@@ -178,7 +202,7 @@
       });
 }
 
-void PieceDesk::startBatch(const std::string &pool, PieceBatch batch) {
+void PieceDesk::startBatch(const std::string &pool, const PieceBatch &batch) {
   const std::uint64_t number = nextBatch_++;
   BatchCall &call = batches_[number];
   call.pool = pool;
@@ -297,19 +321,22 @@
     if (!endpoint || registry_->at(*endpoint) == nullptr)
       continue;
     const std::uint64_t number = nextRelease_++;
-    const auto done = [this, number](http::CallEnd, std::string_view) {
+    const auto done = [this, number, results = entry.second] {
       releases_.erase(number);
+      // Only now is the room at the upstream free.
+      for (auto &gathering : gatherings_)
+        gathering.second->gatherer.release(results);
     };
     http::CallOptions options;
     options.endpoint = *endpoint;
     ReleaseCall &release = releases_[number];
     release.timer = std::make_unique<asio::steady_timer>(io_, FreeTimeout);
-    release.timer->async_wait([this, number](asio::error_code error) {
+    release.timer->async_wait([done](asio::error_code error) {
       if (!error)
-        releases_.erase(number);
+        done();
     });
     http::CallEvents events;
-    events.onEnd = done;
+    events.onEnd = [done](http::CallEnd, std::string_view) { done(); };
     release.call = std::make_unique<http::ClientCall>(io_, std::move(options),
                                                       std::move(events));
     const std::string body = dialect_->releaseBody(entry.second);
@@ -320,7 +347,7 @@
 void PieceDesk::pingSilentGatherers(TimePoint now) {
   for (const auto &entry : outstanding_) {
     const std::string &host = entry.second.gatherer;
-    if (host == peers_->self() || !peers_->isAlive(host, now))
+    if (host == peers_->self() || !peers_->isHeard(host, now))
       continue;
     const TimePoint heard = std::max(
         peers_->lastHeard(host).value_or(TimePoint()), entry.second.sentAt);
@@ -338,7 +365,8 @@
   pingSilentGatherers(now);
   std::vector<JobKey> stranded;
   for (const auto &entry : outstanding_)
-    if (!peers_->isAlive(entry.second.gatherer, now) ||
+    // A host that leaves still ends the jobs that it has in a call.
+    if (!peers_->isHeard(entry.second.gatherer, now) ||
         now > entry.second.sentAt + HandAgainAfter)
       stranded.push_back(entry.first);
   for (const JobKey &key : stranded) {
--- a/src/auburnspring/serving/serving_host.cpp
+++ b/src/auburnspring/serving/serving_host.cpp
@@ -167,15 +167,15 @@
   if (!change.removed) {
     absl::StatusOr<UpstreamEntry> entry =
         dialect_->readUpstream(change.key, change.value);
-    if (entry.ok())
+    if (entry.ok()) {
       what = context_.registry.put(change.key, *std::move(entry));
-    else
+    } else {
       logEvent(LogLevel::Warning, "upstream_entry_ignored",
                {{"key", change.key},
                 {"revision", static_cast<long>(change.revision)},
                 {"error", std::string(entry.status().message())}});
-    if (!entry.ok())
       what = context_.registry.remove(change.key, steadyNow());
+    }
   } else {
     what = context_.registry.remove(change.key, steadyNow());
   }
@@ -365,6 +365,7 @@
              static_cast<unsigned long>(callers_.connectionCount())}});
   peers_.setLeaving(peers_.self(), true);
   peers_.broadcast(beat(), BeatFanout);
+  pieces_.handOver();
   follower_.leave();
   callers_.drain(IdleAfterStop);
 }
--- a/src/auburnspring/serving/serving_metrics.cpp
+++ b/src/auburnspring/serving/serving_metrics.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 /// Upper ends in seconds, from a plain call to the longest deadline.
-const prometheus::Histogram::BucketBoundaries LatencyBuckets = {
+const prometheus::Histogram::BucketBoundaries latencyBuckets = {
     0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.2, 1.6, 2, 3, 5, 8, 12, 20};
 
 double seconds(Duration span) {
@@ -49,12 +49,12 @@
 void ServingMetrics::countRequest(const std::string &route,
                                   const std::string &outcome, Duration took) {
   requests_->Add({{"route", route}, {"outcome", outcome}}).Increment();
-  latency_->Add({{"route", route}}, LatencyBuckets).Observe(seconds(took));
+  latency_->Add({{"route", route}}, latencyBuckets).Observe(seconds(took));
 }
 
 void ServingMetrics::observeFirstEvent(const std::string &route,
                                        Duration took) {
-  firstEvent_->Add({{"route", route}}, LatencyBuckets).Observe(seconds(took));
+  firstEvent_->Add({{"route", route}}, latencyBuckets).Observe(seconds(took));
 }
 
 void ServingMetrics::countAttempt(const std::string &pool,
@@ -63,7 +63,7 @@
 }
 
 void ServingMetrics::observeStage(const std::string &pool, Duration took) {
-  stages_->Add({{"pool", pool}}, LatencyBuckets).Observe(seconds(took));
+  stages_->Add({{"pool", pool}}, latencyBuckets).Observe(seconds(took));
 }
 
 void ServingMetrics::countRefusal(const std::string &reason) {
--- a/src/auburnspring/serving/store_follower.cpp
+++ b/src/auburnspring/serving/store_follower.cpp
@@ -122,7 +122,7 @@
     lease_ = *lease;
     ++calls_;
     store_->put(options_.hostKey, options_.hostValue, lease_,
-                [this](absl::StatusOr<std::int64_t> written) {
+                [this](const absl::StatusOr<std::int64_t> &written) {
                   registered_ = written.ok();
                   if (!written.ok())
                     lease_ = 0;
@@ -145,7 +145,7 @@
 
 void StoreFollower::renew() {
   ++calls_;
-  store_->renewLease(lease_, [this](absl::StatusOr<Duration> life) {
+  store_->renewLease(lease_, [this](const absl::StatusOr<Duration> &life) {
     if (life.ok()) {
       setReachable(true, "renewal");
     } else if (life.status().code() == absl::StatusCode::kNotFound) {
@@ -169,12 +169,13 @@
 
 void StoreFollower::removeEntry() {
   ++calls_;
-  store_->remove(options_.hostKey, [](absl::StatusOr<std::int64_t> result) {
-    // The lease ends soon in any case.
-    if (!result.ok())
-      logEvent(LogLevel::Info, "host_entry_not_removed",
-               {{"error", std::string(result.status().message())}});
-  });
+  store_->remove(
+      options_.hostKey, [](const absl::StatusOr<std::int64_t> &result) {
+        // The lease ends soon in any case.
+        if (!result.ok())
+          logEvent(LogLevel::Info, "host_entry_not_removed",
+                   {{"error", std::string(result.status().message())}});
+      });
 }
 
 void StoreFollower::applyFromPeer(bool isWhole, std::int64_t revision,
--- a/src/auburnspring/wire/peer_codec.cpp
+++ b/src/auburnspring/wire/peer_codec.cpp
@@ -188,12 +188,24 @@
                     entry.goalIn.count(), entry.deadlineIn.count(),
                     job.density});
   }
-  return jobs;
+  nlohmann::json upstreams = nlohmann::json::array();
+  for (const GatheredUpstream &upstream : submit.upstreams)
+    upstreams.push_back({upstream.life, upstream.busyFor.count(),
+                         upstream.heldBytes, upstream.slowness});
+  return {{"jobs", std::move(jobs)},
+          {"pool", submit.pool},
+          {"upstreams", std::move(upstreams)}};
 }
 
 PieceSubmit readSubmit(const nlohmann::json &json) {
   PieceSubmit submit;
-  for (const nlohmann::json &fields : json) {
+  submit.pool = json.at("pool").get<std::string>();
+  for (const nlohmann::json &fields : json.at("upstreams"))
+    submit.upstreams.push_back({fields.at(0).get<std::string>(),
+                                Duration(fields.at(1).get<std::int64_t>()),
+                                fields.at(2).get<std::int64_t>(),
+                                fields.at(3).get<double>()});
+  for (const nlohmann::json &fields : json.at("jobs")) {
     PieceSubmit::Entry entry;
     PieceJob &job = entry.job;
     job.host = fields.at(0).get<std::string>();
@@ -226,7 +238,7 @@
   for (const PieceOutcome &outcome : message.outcomes)
     outcomes.push_back({outcome.host, outcome.requestId, outcome.stage,
                         outcome.round, static_cast<unsigned>(outcome.verdict),
-                        outcome.results});
+                        outcome.backlog.count(), outcome.results});
   return outcomes;
 }
 
@@ -238,7 +250,8 @@
         {fields.at(0).get<std::string>(), fields.at(1).get<std::string>(),
          fields.at(2).get<std::uint32_t>(), fields.at(3).get<std::uint32_t>(),
          static_cast<PieceVerdict>(std::min(verdict, 3U)),
-         fields.at(5).get<std::vector<std::string>>()});
+         Duration(fields.at(5).get<std::int64_t>()),
+         fields.at(6).get<std::vector<std::string>>()});
   }
   return message;
 }
