Gatherer: a stage's inputs are freed once its upstreams have fetched them

Change: the host that gathers for the later stage frees inputs that no other stage needs 100 ms after their last piece was sent; late jobs wait 700 ms.

--- a/include/auburnspring/decision/piece_gatherer.h
+++ b/include/auburnspring/decision/piece_gatherer.h
@@ -79,6 +79,9 @@
 
   /// Jobs that have ended since the last call.
   std::vector<PieceOutcome> takeOutcomes();
+  /// Inputs that every piece of their job has fetched; to be freed early, since
+  /// room for results is what limits the pool before this one.
+  std::vector<std::string> takeFetchedInputs(TimePoint now);
   /// Results that came for nobody, to be freed at their upstream.
   std::vector<std::string> takeOrphans();
 
@@ -105,6 +108,9 @@
     /// Pieces that wait for a batch.
     std::vector<std::uint32_t> waiting;
     std::int64_t failures = 0;
+    /// When its last piece was sent, and whether its inputs are freed.
+    TimePoint sentAt;
+    bool inputsFreed = false;
   };
 
   struct InCall {
--- a/include/auburnspring/decision/piece_job.h
+++ b/include/auburnspring/decision/piece_job.h
@@ -24,6 +24,8 @@
   std::string key;
   /// Results of the predecessors, else.
   std::vector<std::string> inputs;
+  /// No other stage needs the inputs: they may be freed once fetched.
+  bool ownsInputs = false;
   std::int64_t resultBytes = 0;
   /// When the stage must have ended for the request to meet its goal, and when
   /// its caller is no longer waiting.
--- a/include/auburnspring/decision/stage_plan.h
+++ b/include/auburnspring/decision/stage_plan.h
@@ -29,6 +29,9 @@
   /// Results that a stage works on, in order of stage and piece.
   std::vector<std::string> inputsOf(std::uint32_t stage) const;
 
+  /// True if no other stage works on the same results.
+  bool ownsInputs(std::uint32_t stage) const;
+
   /// Records a stage's results. Returns results of earlier stages that no
   /// later stage needs any more. A round that is over is ignored.
   std::vector<std::string> onDone(std::uint32_t stage, std::uint32_t round,
--- a/src/auburnspring/decision/piece_gatherer.cpp
+++ b/src/auburnspring/decision/piece_gatherer.cpp
@@ -21,6 +21,10 @@
 constexpr Duration SlowRetryAfter = std::chrono::milliseconds(1500);
 constexpr Duration PauseWhenFull = std::chrono::milliseconds(60);
 constexpr Duration PauseWhenBroken = std::chrono::milliseconds(700);
+/// An upstream fetches a call's inputs at the start of its turn, which is when
+/// the call arrives. A link of these carries a full batch's inputs in a tenth
+/// of this time.
+constexpr Duration FetchTime = std::chrono::milliseconds(100);
 /// Failures of its pieces after which a job is given up.
 constexpr std::int64_t MaxJobFailures = 24;
 /// A request that misses its goal is worth this share of its credit.
@@ -29,7 +33,7 @@
 constexpr std::size_t PlacesPerOldest = 6;
 /// A job that has been late for so long is told so: it was only waiting for
 /// places that nobody else needed.
-constexpr Duration LateLimit = std::chrono::milliseconds(400);
+constexpr Duration LateLimit = std::chrono::milliseconds(700);
 /// Results that others hold at an upstream are taken to be freed within this
 /// time.
 constexpr Duration ForeignLife = std::chrono::milliseconds(1500);
@@ -202,6 +206,7 @@
     call->items.push_back({keyOf(job->job), job->job.round, piece});
     worker->promisedBytes += job->job.resultBytes;
   }
+  job->sentAt = now;
 }
 
 PieceBatch PieceGatherer::fill(Worker *worker, const std::vector<Job *> &order,
@@ -270,8 +275,12 @@
     const auto worker = workers_.find(call.upstream);
     if (worker != workers_.end())
       worker->second.slowness = std::max(worker->second.slowness, SlowFactor);
-    for (const InCall &item : call.items)
-      requeue(item, true);
+    // Without their inputs the pieces can only wait where they are.
+    for (const InCall &item : call.items) {
+      const auto job = jobs_.find(item.job);
+      if (job != jobs_.end() && !job->second.inputsFreed)
+        requeue(item, true);
+    }
   }
 }
 
@@ -312,6 +321,8 @@
       std::find(job.waiting.begin(), job.waiting.end(), item.piece) !=
           job.waiting.end())
     return;
+  if (job.inputsFreed)
+    return finish(item.job, PieceVerdict::InputsGone);
   job.waiting.push_back(item.piece);
   if (counts && ++job.failures > MaxJobFailures)
     finish(item.job, PieceVerdict::Failed);
@@ -506,6 +517,19 @@
   return std::exchange(orphans_, {});
 }
 
+std::vector<std::string> PieceGatherer::takeFetchedInputs(TimePoint now) {
+  std::vector<std::string> fetched;
+  for (auto &entry : jobs_) {
+    Job &job = entry.second;
+    if (!job.job.ownsInputs || job.inputsFreed || !job.waiting.empty() ||
+        now < job.sentAt + FetchTime)
+      continue;
+    job.inputsFreed = true;
+    fetched.insert(fetched.end(), job.job.inputs.begin(), job.job.inputs.end());
+  }
+  return fetched;
+}
+
 std::optional<TimePoint> PieceGatherer::nextWake(TimePoint now) const {
   std::optional<TimePoint> wake;
   const auto consider = [&](TimePoint at) {
@@ -517,11 +541,15 @@
       consider(entry.second.since +
                scaled(entry.second.expected, OverdueFactor) + OverdueSlack);
   bool waits = false;
-  for (const auto &entry : jobs_)
-    if (!entry.second.waiting.empty()) {
+  for (const auto &entry : jobs_) {
+    const Job &job = entry.second;
+    if (!job.waiting.empty()) {
       waits = true;
-      consider(entry.second.job.deadline - limits_.callTime);
+      consider(job.job.deadline - limits_.callTime);
+    } else if (job.job.ownsInputs && !job.inputsFreed) {
+      consider(job.sentAt + FetchTime);
     }
+  }
   if (waits) {
     const TimePoint due = lastDispatch_ + spacing(now);
     if (due > now)
--- a/src/auburnspring/decision/stage_plan.cpp
+++ b/src/auburnspring/decision/stage_plan.cpp
@@ -43,6 +43,16 @@
   return inputs;
 }
 
+bool StagePlan::ownsInputs(std::uint32_t stage) const {
+  for (std::uint32_t i = 0; i < stages_.size(); ++i)
+    for (const std::uint32_t before : stages_[stage].after)
+      if (i != stage && states_[i].pieces > 0 &&
+          std::find(stages_[i].after.begin(), stages_[i].after.end(), before) !=
+              stages_[i].after.end())
+        return false;
+  return !stages_[stage].after.empty();
+}
+
 bool StagePlan::isFinal(std::uint32_t stage) const {
   return std::none_of(stages_.begin(), stages_.end(),
                       [stage](const PieceStage &later) {
--- a/src/auburnspring/serving/caller_stages.cpp
+++ b/src/auburnspring/serving/caller_stages.cpp
@@ -123,6 +123,7 @@
   job.pieces = plan_.pieces(stage);
   job.key = request_.pieceKey;
   job.inputs = plan_.inputsOf(stage);
+  job.ownsInputs = plan_.ownsInputs(stage);
   job.resultBytes = plan_.stages()[stage].resultBytes;
   const Duration rest = restAfter(stage);
   job.goalAt = goalAt_ - rest;
--- a/src/auburnspring/serving/piece_desk.cpp
+++ b/src/auburnspring/serving/piece_desk.cpp
@@ -185,6 +185,7 @@
   for (const PieceBatch &batch : here.gatherer.dispatch(now))
     startBatch(pool, batch);
   freeResults(here.gatherer.takeOrphans());
+  freeResults(here.gatherer.takeFetchedInputs(now));
   for (PieceOutcome &outcome : here.gatherer.takeOutcomes())
     deliver(std::move(outcome));
   schedulePump(&here, steadyNow());
--- a/src/auburnspring/wire/peer_codec.cpp
+++ b/src/auburnspring/wire/peer_codec.cpp
@@ -185,8 +185,8 @@
     const PieceJob &job = entry.job;
     jobs.push_back({job.host, job.requestId, job.stage, job.round, job.pool,
                     job.pieces, job.key, job.inputs, job.resultBytes,
-                    entry.goalIn.count(), entry.deadlineIn.count(),
-                    job.density});
+                    entry.goalIn.count(), entry.deadlineIn.count(), job.density,
+                    job.ownsInputs});
   }
   nlohmann::json upstreams = nlohmann::json::array();
   for (const GatheredUpstream &upstream : submit.upstreams)
@@ -220,6 +220,7 @@
     entry.goalIn = Duration(fields.at(9).get<std::int64_t>());
     entry.deadlineIn = Duration(fields.at(10).get<std::int64_t>());
     job.density = fields.at(11).get<double>();
+    job.ownsInputs = fields.at(12).get<bool>();
     submit.jobs.push_back(std::move(entry));
   }
   return submit;
