Placement: jobs near their large inputs and results, one holder of shared parts

Change: the first engine in rendezvous order is the only one taken to hold a prompt's shared parts, another must be 150 ms sooner; a job waits a third of its slack, 300 ms at most, for an upstream near its large inputs, or near the engine that its results go to.

--- a/include/auburnspring/decision/piece_gatherer.h
+++ b/include/auburnspring/decision/piece_gatherer.h
@@ -152,10 +152,12 @@
   Duration spacing(TimePoint now) const;
   std::size_t usableWorkers(TimePoint now) const;
   Worker *pickWorker(TimePoint now);
+  bool mayRunAt(const Job &job, const Worker &worker, TimePoint now) const;
+  bool hasUsableNear(const std::string &dataCentre, TimePoint now) const;
   bool canServe(const Worker &worker, TimePoint now) const;
   std::int64_t freeBytes(const Worker &worker, TimePoint now) const;
   bool isInTime(const Job &job, TimePoint now) const;
-  std::vector<Job *> ranked(TimePoint now);
+  std::vector<Job *> ranked(const Worker &worker, TimePoint now);
   PieceBatch fill(Worker *worker, const std::vector<Job *> &order,
                   TimePoint now);
   static std::string lifeOf(const ServedUpstream &upstream);
--- a/include/auburnspring/decision/piece_job.h
+++ b/include/auburnspring/decision/piece_job.h
@@ -27,6 +27,9 @@
   /// No other stage needs the inputs: they may be freed once fetched.
   bool ownsInputs = false;
   std::int64_t resultBytes = 0;
+  /// Data centre where its inputs lie, or where its results are needed; empty
+  /// if they are too small to matter.
+  std::string nearDataCentre;
   /// When the stage must have ended for the request to meet its goal, and when
   /// its caller is no longer waiting.
   TimePoint goalAt;
--- a/include/auburnspring/serving/caller_run.h
+++ b/include/auburnspring/serving/caller_run.h
@@ -39,15 +39,17 @@
   void startStages();
   void submitReady();
   void onStage(PieceOutcome outcome, const std::string &pool, TimePoint since);
-  PieceJob jobFor(std::uint32_t stage) const;
+  PieceJob jobFor(std::uint32_t stage);
   Duration stageTime(std::uint32_t stage) const;
   Duration restAfter(std::uint32_t stage) const;
   Duration returnAfter(Duration backlog) const;
   double density(std::uint32_t stage) const;
+  std::string dataCentreFor(std::uint32_t stage);
   void releaseResults(const std::vector<std::string> &results);
 
   // Attempts.
   void dispatch();
+  ServedUpstreamPtr place(const std::vector<std::string> &inputs);
   void startAttempt(const ServedUpstreamPtr &upstream);
   UpstreamTerms termsFor(const ServedUpstream &upstream) const;
   void onBody(Attempt *attempt, std::string_view bytes);
--- a/src/auburnspring/decision/piece_gatherer.cpp
+++ b/src/auburnspring/decision/piece_gatherer.cpp
@@ -25,6 +25,10 @@
 /// the call arrives. A link of these carries a full batch's inputs in a tenth
 /// of this time.
 constexpr Duration FetchTime = std::chrono::milliseconds(100);
+/// A job waits at most this long, and this share of its slack, for an upstream
+/// near its inputs or near where its results are needed.
+constexpr Duration LongestNearWait = std::chrono::milliseconds(300);
+constexpr std::int64_t NearWaitSlackShare = 3;
 /// Failures of its pieces after which a job is given up.
 constexpr std::int64_t MaxJobFailures = 24;
 /// A request that misses its goal is worth this share of its credit.
@@ -127,8 +131,29 @@
          now >= worker.pausedUntil;
 }
 
+bool PieceGatherer::hasUsableNear(const std::string &dataCentre,
+                                  TimePoint now) const {
+  return std::any_of(workers_.begin(), workers_.end(), [&](const auto &entry) {
+    return entry.second.upstream->entry.dataCentre == dataCentre &&
+           entry.second.upstream->takesWork(now) &&
+           entry.second.slowness < SlowFactor;
+  });
+}
+
+bool PieceGatherer::mayRunAt(const Job &job, const Worker &worker,
+                             TimePoint now) const {
+  const std::string &near = job.job.nearDataCentre;
+  if (near.empty() || near == worker.upstream->entry.dataCentre)
+    return true;
+  const Duration slack = job.job.goalAt - now -
+                         expectedCall(static_cast<std::size_t>(typicalBatch_));
+  const Duration wait = std::min(LongestNearWait, slack / NearWaitSlackShare);
+  return now >= job.since + wait || !hasUsableNear(near, now);
+}
+
 PieceGatherer::Worker *PieceGatherer::pickWorker(TimePoint now) {
   Worker *best = nullptr;
+  std::size_t bestPieces = 0;
   for (auto &entry : workers_) {
     Worker &worker = entry.second;
     if (!canServe(worker, now))
@@ -137,8 +162,17 @@
     if (worker.slowness >= SlowFactor &&
         now < worker.lastCallAt + SlowRetryAfter)
       continue;
-    if (best == nullptr || worker.heldBytes < best->heldBytes)
-      best = &worker;
+    std::size_t pieces = 0;
+    for (const auto &job : jobs_)
+      if (!job.second.waiting.empty() && mayRunAt(job.second, worker, now))
+        pieces += job.second.waiting.size();
+    const bool isBetter =
+        pieces > bestPieces || (pieces == bestPieces && best != nullptr &&
+                                worker.heldBytes < best->heldBytes);
+    if (pieces == 0 || !isBetter)
+      continue;
+    best = &worker;
+    bestPieces = pieces;
   }
   return best;
 }
@@ -159,7 +193,8 @@
          job.job.goalAt;
 }
 
-std::vector<PieceGatherer::Job *> PieceGatherer::ranked(TimePoint now) {
+std::vector<PieceGatherer::Job *> PieceGatherer::ranked(const Worker &worker,
+                                                        TimePoint now) {
   struct Ranked {
     Job *job;
     double rank;
@@ -167,7 +202,7 @@
   std::vector<Ranked> order;
   for (auto &entry : jobs_) {
     Job &job = entry.second;
-    if (job.waiting.empty())
+    if (job.waiting.empty() || !mayRunAt(job, worker, now))
       continue;
     // A job that has begun costs only its remaining pieces.
     const double begun = static_cast<double>(job.job.pieces) /
@@ -300,7 +335,7 @@
     Worker *worker = pickWorker(now);
     if (worker == nullptr)
       break;
-    PieceBatch batch = fill(worker, ranked(now), now);
+    PieceBatch batch = fill(worker, ranked(*worker, now), now);
     if (batch.items.empty()) {
       // It has no room for any piece that waits.
       worker->pausedUntil = now + PauseWhenFull;
--- a/src/auburnspring/decision/piece_gatherer_test.cpp
+++ b/src/auburnspring/decision/piece_gatherer_test.cpp
@@ -329,3 +329,48 @@
   pool.dispatch(at(1000));
   CHECK(pool.takeFetchedInputs(at(1300)).empty());
 }
+
+TEST_CASE("large results: a job waits a little for an upstream near them") {
+  PieceGatherer pool("stock");
+  pool.setLimits(limits());
+  auto list = upstreams(2);
+  list[0]->entry.dataCentre = "a";
+  list[1]->entry.dataCentre = "b";
+  pool.setUpstreams(list);
+  PieceJob near = job("n", 2, 5000);
+  near.nearDataCentre = "b";
+  pool.submit(near, at(1000));
+  auto batches = pool.dispatch(at(1000));
+  REQUIRE(batches.size() == 1);
+  CHECK(batches[0].upstream == list[1]);
+  // While that one is busy the next waits, but not beyond its slack.
+  near.requestId = "o";
+  pool.submit(near, at(1100));
+  CHECK(pool.dispatch(at(1200)).empty());
+  batches = pool.dispatch(at(1400));
+  REQUIRE(batches.size() == 1);
+  CHECK(batches[0].upstream == list[0]);
+  PieceJob urgent = job("u", 2, 1800);
+  urgent.nearDataCentre = "b";
+  PieceGatherer other("stock");
+  other.setLimits(limits());
+  other.setUpstreams({list[0], list[1]});
+  other.submit(job("x", 18, 9000), at(1000));
+  other.submit(job("y", 18, 9000), at(1000));
+  batches = other.dispatch(at(1000));
+  REQUIRE(batches.size() == 2);
+  const PieceBatch &atA =
+      batches[0].upstream == list[0] ? batches[0] : batches[1];
+  other.onBatchEnd(atA.number, BatchEnd::Answered, done(atA), at(1440));
+  urgent.goalAt = at(1700);
+  other.submit(urgent, at(1440));
+  CHECK(other.dispatch(at(1500)).size() == 1);
+}
+
+TEST_CASE("large results: without an upstream near them a job goes anywhere") {
+  PieceGatherer pool = gatherer(2);
+  PieceJob near = job("n", 2, 5000);
+  near.nearDataCentre = "elsewhere";
+  pool.submit(near, at(1000));
+  CHECK(pool.dispatch(at(1000)).size() == 1);
+}
--- a/src/auburnspring/decision/placement.cpp
+++ b/src/auburnspring/decision/placement.cpp
@@ -19,8 +19,9 @@
 constexpr double FullPenaltyMillis = 4000;
 /// Share of an engine's memory that estimates may fill.
 constexpr double MemoryShare = 0.9;
-/// Upstreams on which a chain of shared parts is taken to be cached.
-constexpr std::size_t CachedOn = 2;
+/// How much sooner an engine must be that has to read the shared parts again,
+/// which costs the whole pool.
+constexpr double ReadAgainMillis = 150;
 /// What results from another data centre cost, in ms.
 constexpr double CrossingMillis = 4;
 /// Weight of a failure against a slow answer: an upstream that fails half of
@@ -138,13 +139,12 @@
   ServedUpstreamPtr best;
   double bestMillis = std::numeric_limits<double>::max();
   for (std::size_t i = 0; i < found.size(); ++i) {
-    const bool isCached = !subject.empty() && i < CachedOn;
+    const bool isCached = !subject.empty() && i == 0;
     const std::int64_t toRead = request.promptTokens - (isCached ? shared : 0);
     double millis = loadOf(*found[i], limits, request, now).delayMillis +
                     static_cast<double>(toRead) / PrefillTokensPerMilli;
-    // Between the two holders the first is preferred while it is not busier.
-    if (isCached)
-      millis += static_cast<double>(i) * StepMillisPerRunning;
+    if (!subject.empty() && !isCached)
+      millis += ReadAgainMillis;
     for (const std::string &dataCentre : request.inputDataCentres)
       if (dataCentre != found[i]->entry.dataCentre)
         millis += CrossingMillis;
--- a/src/auburnspring/serving/caller_run.cpp
+++ b/src/auburnspring/serving/caller_run.cpp
@@ -142,30 +142,33 @@
 
 // Attempts.
 
-void CallerRun::dispatch() {
-  if (done_)
-    return;
-  const TimePoint now = steadyNow();
-  if (timeLeft() < LeastAttemptTime)
-    return onDeadline();
+ServedUpstreamPtr CallerRun::place(const std::vector<std::string> &inputs) {
   PlacementRequest placement;
   placement.prompt = request_.prompt;
   placement.promptTokens = request_.promptTokens;
   placement.outputTokens = request_.outputTokens;
   placement.avoid = tried_;
   std::vector<std::string> inputPlaces;
-  for (const std::string &input : plan_.finalInputs())
+  for (const std::string &input : inputs)
     if (const auto endpoint = context_->dialect->resultEndpoint(input))
       if (const ServedUpstreamPtr maker = context_->registry.at(*endpoint))
         inputPlaces.push_back(maker->entry.dataCentre);
   placement.inputDataCentres = inputPlaces;
   const std::vector<ServedUpstreamPtr> &members =
       context_->registry.pool(poolName_);
-  const bool isEngine = pool_ != nullptr && pool_->engine;
-  ServedUpstreamPtr upstream =
-      isEngine ? placeEngine(members, *pool_->engine, placement, now,
-                             &context_->random)
-               : placePlain(members, placement, now, &context_->random);
+  const TimePoint now = steadyNow();
+  return pool_ != nullptr && pool_->engine
+             ? placeEngine(members, *pool_->engine, placement, now,
+                           &context_->random)
+             : placePlain(members, placement, now, &context_->random);
+}
+
+void CallerRun::dispatch() {
+  if (done_)
+    return;
+  if (timeLeft() < LeastAttemptTime)
+    return onDeadline();
+  const ServedUpstreamPtr upstream = place(plan_.finalInputs());
   if (upstream == nullptr) {
     if (hasLiveAttempt())
       return;
--- a/src/auburnspring/serving/caller_stages.cpp
+++ b/src/auburnspring/serving/caller_stages.cpp
@@ -19,6 +19,9 @@
 constexpr Duration StageWait = std::chrono::milliseconds(70);
 /// From the end of the stages to the first event, without reading the prompt.
 constexpr Duration FirstEventTime = std::chrono::milliseconds(80);
+/// Results of a stage that are larger than this in all are kept within a data
+/// centre where that costs little time.
+constexpr std::int64_t BytesThatMatter = 100000;
 /// Prompt tokens that an engine reads in a millisecond.
 constexpr std::int64_t PrefillTokensPerMilli = 100;
 
@@ -114,7 +117,28 @@
   return worth / std::max(seconds, 1e-3);
 }
 
-PieceJob CallerRun::jobFor(std::uint32_t stage) const {
+std::string CallerRun::dataCentreFor(std::uint32_t stage) {
+  const std::vector<PieceStage> &stages = plan_.stages();
+  std::int64_t inputBytes = 0;
+  for (const std::uint32_t before : stages[stage].after)
+    inputBytes += stages[before].resultBytes * plan_.pieces(before);
+  // Each piece fetches all inputs.
+  if (inputBytes * plan_.pieces(stage) >= BytesThatMatter) {
+    const std::vector<std::string> inputs = plan_.inputsOf(stage);
+    const auto endpoint = context_->dialect->resultEndpoint(inputs.front());
+    const ServedUpstreamPtr maker =
+        endpoint ? context_->registry.at(*endpoint) : nullptr;
+    return maker == nullptr ? "" : maker->entry.dataCentre;
+  }
+  const bool isLast = plan_.chainFrom(stage) == 1;
+  if (!isLast ||
+      stages[stage].resultBytes * plan_.pieces(stage) < BytesThatMatter)
+    return "";
+  const ServedUpstreamPtr engine = place({});
+  return engine == nullptr ? "" : engine->entry.dataCentre;
+}
+
+PieceJob CallerRun::jobFor(std::uint32_t stage) {
   PieceJob job;
   job.requestId = request_.id;
   job.stage = stage;
@@ -123,6 +147,7 @@
   job.pieces = plan_.pieces(stage);
   job.key = request_.pieceKey;
   job.inputs = plan_.inputsOf(stage);
+  job.nearDataCentre = dataCentreFor(stage);
   job.ownsInputs = plan_.ownsInputs(stage);
   job.resultBytes = plan_.stages()[stage].resultBytes;
   const Duration rest = restAfter(stage);
--- a/src/auburnspring/wire/peer_codec.cpp
+++ b/src/auburnspring/wire/peer_codec.cpp
@@ -186,7 +186,7 @@
     jobs.push_back({job.host, job.requestId, job.stage, job.round, job.pool,
                     job.pieces, job.key, job.inputs, job.resultBytes,
                     entry.goalIn.count(), entry.deadlineIn.count(), job.density,
-                    job.ownsInputs});
+                    job.ownsInputs, job.nearDataCentre});
   }
   nlohmann::json upstreams = nlohmann::json::array();
   for (const GatheredUpstream &upstream : submit.upstreams)
@@ -221,6 +221,7 @@
     entry.deadlineIn = Duration(fields.at(10).get<std::int64_t>());
     job.density = fields.at(11).get<double>();
     job.ownsInputs = fields.at(12).get<bool>();
+    job.nearDataCentre = fields.at(13).get<std::string>();
     submit.jobs.push_back(std::move(entry));
   }
   return submit;
