--- a/include/auburnspring/decision/piece_gatherer.h
+++ b/include/auburnspring/decision/piece_gatherer.h
@@ -29,6 +29,8 @@
   std::uint64_t number = 0;
   ServedUpstreamPtr upstream;
   std::vector<BatchItem> items;
+  /// Pieces with large inputs or results elsewhere.
+  std::size_t farPieces = 0;
 };
 
 /// What an upstream says of one piece.
--- a/src/auburnspring/decision/piece_gatherer.cpp
+++ b/src/auburnspring/decision/piece_gatherer.cpp
@@ -240,6 +240,9 @@
                             job->job.inputs});
     call->items.push_back({keyOf(job->job), job->job.round, piece});
     worker->promisedBytes += job->job.resultBytes;
+    if (!job->job.nearDataCentre.empty() &&
+        job->job.nearDataCentre != worker->upstream->entry.dataCentre)
+      ++batch->farPieces;
   }
   job->sentAt = now;
 }
--- a/src/auburnspring/serving/piece_desk.cpp
+++ b/src/auburnspring/serving/piece_desk.cpp
@@ -246,6 +246,7 @@
             {"batch", static_cast<unsigned long>(number)},
             {"upstream", call.upstream},
             {"pieces", static_cast<unsigned long>(call.items)},
+            {"far", static_cast<unsigned long>(batch.farPieces)},
             {"waiting", static_cast<unsigned long>(
                             gatherings_.at(pool)->gatherer.waitingPieces())}});
   call.gathererNumber = batch.number;
