Gathering falls to hosts with processor to spare; beats go round a ring

Cause: on the grown sites hosts have 0.12 to 0.5 cores and the one that gathers was chosen evenly; it was saturated (0.095 cores, 61 MB of queues). Beats went to twelve peers in turn, each time on new connections. Change: rendezvous weighted by the cube of the processor share that each host's entry tells; beats to fixed successors; the gatherer counts what waits and looks for late jobs every 10 ms.

--- a/include/auburnspring/decision/piece_gatherer.h
+++ b/include/auburnspring/decision/piece_gatherer.h
@@ -93,7 +93,7 @@
   /// Expected wait of a new job until its call begins.
   Duration backlog(TimePoint now) const;
 
-  std::size_t waitingPieces() const;
+  std::size_t waitingPieces() const { return waitingPieces_; }
   std::size_t jobCount() const { return jobs_.size(); }
   std::uint64_t batchesSent() const { return nextBatch_ - 1; }
   std::uint64_t piecesSent() const { return piecesSent_; }
@@ -173,6 +173,8 @@
   void keepResult(const InCall &item, const std::string &handle, Worker *worker,
                   TimePoint now);
   void forgetExpired(TimePoint now);
+  void keepHouse(TimePoint now);
+  void eraseJob(std::map<JobKey, Job>::iterator job);
   void finish(const JobKey &key, PieceVerdict verdict);
 
   std::string pool_;
@@ -185,6 +187,8 @@
   std::uint64_t nextBatch_ = 1;
   std::uint64_t piecesSent_ = 0;
   double typicalBatch_ = 1;
+  std::size_t waitingPieces_ = 0;
+  TimePoint housekeptAt_;
   Duration lastBacklog_{0};
   TimePoint lastDispatch_;
 };
--- a/include/auburnspring/decision/rendezvous.h
+++ b/include/auburnspring/decision/rendezvous.h
@@ -3,6 +3,7 @@
 
 #include "auburnspring/base/digest.h"
 
+#include <cmath>
 #include <cstdint>
 #include <string_view>
 
@@ -16,6 +17,16 @@
   return stableHash({candidate.data(), candidate.size()}, seed);
 }
 
+/// The same for candidates of unequal capacity: over all subjects a candidate
+/// scores highest in proportion to its capacity, which must be positive.
+inline double weightedRendezvous(std::string_view subject,
+                                 std::string_view candidate, double capacity) {
+  constexpr double Range = 18446744073709551616.0;
+  const double drawn =
+      (static_cast<double>(rendezvousWeight(subject, candidate)) + 0.5) / Range;
+  return std::log(drawn) / capacity;
+}
+
 } // namespace auburnspring
 
 #endif
--- a/include/auburnspring/serving/peer_network.h
+++ b/include/auburnspring/serving/peer_network.h
@@ -24,6 +24,8 @@
     Endpoint listen;
     std::string peerKey;
     std::uint64_t incarnation = 0;
+    /// Share of a processor that this host has.
+    double processorShare = 1;
   };
   using Receive =
       std::function<void(const std::string &from, PeerMessage message)>;
@@ -35,7 +37,7 @@
 
   /// The store lists the host, or no longer does.
   void setListed(const std::string &host, const Endpoint &endpoint,
-                 TimePoint now);
+                 double processorShare, TimePoint now);
   void setUnlisted(const std::string &host, TimePoint now);
   void setLeaving(const std::string &host, bool leaving);
 
@@ -49,11 +51,12 @@
   bool isHeard(const std::string &host, TimePoint now) const;
   std::optional<TimePoint> lastHeard(const std::string &host) const;
 
-  /// Host that a subject falls to among those alive; this host if alone.
+  /// Host that a subject falls to among those alive, the more often the more
+  /// processor it has; this host if alone.
   std::string preferred(const std::string &subject, TimePoint now) const;
 
   void send(const std::string &host, PeerMessage message);
-  /// Sends to each known peer, or to so many of them in turn.
+  /// Sends to each known peer, or to so many successors of this host.
   void broadcast(const PeerMessage &message, std::size_t fanout);
 
   const std::string &self() const { return options_.host; }
@@ -63,6 +66,7 @@
 private:
   struct Peer {
     Endpoint endpoint;
+    double processorShare = 1;
     TimePoint knownSince;
     TimePoint heardAt;
     TimePoint unlistedAt;
@@ -80,7 +84,6 @@
   Receive receive_;
   PeerMesh mesh_;
   std::map<std::string, Peer> peers_;
-  std::string lastBroadcastTo_;
   bool selfLeaving_ = false;
 };
 
--- a/include/auburnspring/serving/settings.h
+++ b/include/auburnspring/serving/settings.h
@@ -26,6 +26,8 @@
   /// Lines that one event may write in a second.
   std::int64_t logLinesPerSecond = 50;
   std::int64_t memoryMegabytes = 256;
+  /// Share of a processor that this host has.
+  double processorShare = 1;
   /// Repeats that all hosts together may add to a pool in any window: a ratio
   /// of its requests plus a slack.
   double retryRatio = 0.1;
--- a/src/auburnspring/decision/piece_gatherer.cpp
+++ b/src/auburnspring/decision/piece_gatherer.cpp
@@ -29,6 +29,11 @@
 /// near its inputs or near where its results are needed.
 constexpr Duration LongestNearWait = std::chrono::milliseconds(300);
 constexpr std::int64_t NearWaitSlackShare = 3;
+/// Jobs that are late, calls that are overdue and results that have expired are
+/// looked for at this interval, whatever the number of jobs.
+constexpr Duration HouseInterval = std::chrono::milliseconds(10);
+/// While there are jobs the gatherer looks at them at least this often.
+constexpr Duration IdleInterval = std::chrono::milliseconds(25);
 /// Failures of its pieces after which a job is given up.
 constexpr std::int64_t MaxJobFailures = 24;
 /// A request that misses its goal is worth this share of its credit.
@@ -90,21 +95,27 @@
   for (std::uint32_t piece = 0; piece < job.pieces; ++piece)
     entry.waiting.push_back(piece);
   entry.job = std::move(job);
+  if (known != jobs_.end())
+    eraseJob(known);
+  waitingPieces_ += entry.waiting.size();
   jobs_[key] = std::move(entry);
 }
 
+void PieceGatherer::eraseJob(std::map<JobKey, Job>::iterator job) {
+  waitingPieces_ -= job->second.waiting.size();
+  jobs_.erase(job);
+}
+
 void PieceGatherer::withdraw(const std::string &host,
                              const std::string &requestId) {
-  const auto from = jobs_.lower_bound({host, {requestId, 0}});
-  auto to = from;
-  while (to != jobs_.end() && to->first.first == host &&
-         to->first.second.first == requestId) {
-    for (const std::string &handle : to->second.results)
+  auto job = jobs_.lower_bound({host, {requestId, 0}});
+  while (job != jobs_.end() && job->first.first == host &&
+         job->first.second.first == requestId) {
+    for (const std::string &handle : job->second.results)
       if (!handle.empty())
         orphans_.push_back(handle);
-    ++to;
+    eraseJob(job++);
   }
-  jobs_.erase(from, to);
 }
 
 Duration PieceGatherer::expectedCall(std::size_t pieces) const {
@@ -158,6 +169,11 @@
     Worker &worker = entry.second;
     if (!canServe(worker, now))
       continue;
+    const bool isFull =
+        waitingPieces_ >= static_cast<std::size_t>(limits_.batch) * 4;
+    // With so much waiting each upstream finds a full batch.
+    if (isFull && worker.slowness < SlowFactor)
+      return &worker;
     // A slow upstream is only tried again now and then.
     if (worker.slowness >= SlowFactor &&
         now < worker.lastCallAt + SlowRetryAfter)
@@ -235,6 +251,7 @@
       return;
     const std::uint32_t piece = job->waiting.back();
     job->waiting.pop_back();
+    --waitingPieces_;
     batch->items.push_back({job->job.requestId, job->job.stage, piece,
                             job->job.deadline - now, job->job.key,
                             job->job.inputs});
@@ -322,17 +339,22 @@
   }
 }
 
-std::vector<PieceBatch> PieceGatherer::dispatch(TimePoint now) {
-  std::vector<PieceBatch> batches;
+void PieceGatherer::keepHouse(TimePoint now) {
+  if (now < housekeptAt_ + HouseInterval)
+    return;
+  housekeptAt_ = now;
   lastBacklog_ = backlog(now);
   dropHopeless(now);
   requeueOverdue(now);
   forgetExpired(now);
-  while (true) {
-    const std::size_t waiting = waitingPieces();
-    if (waiting == 0)
-      break;
-    const bool isFull = waiting >= static_cast<std::size_t>(limits_.batch);
+}
+
+std::vector<PieceBatch> PieceGatherer::dispatch(TimePoint now) {
+  std::vector<PieceBatch> batches;
+  keepHouse(now);
+  while (waitingPieces_ > 0) {
+    const bool isFull =
+        waitingPieces_ >= static_cast<std::size_t>(limits_.batch);
     if (!isFull && now < lastDispatch_ + spacing(now))
       break;
     Worker *worker = pickWorker(now);
@@ -362,6 +384,7 @@
   if (job.inputsFreed)
     return finish(item.job, PieceVerdict::InputsGone);
   job.waiting.push_back(item.piece);
+  ++waitingPieces_;
   if (counts && ++job.failures > MaxJobFailures)
     finish(item.job, PieceVerdict::Failed);
 }
@@ -445,9 +468,11 @@
     worker->heldBytes += job.job.resultBytes;
   }
   job.results[item.piece] = handle;
+  waitingPieces_ -= job.waiting.size();
   job.waiting.erase(
       std::remove(job.waiting.begin(), job.waiting.end(), item.piece),
       job.waiting.end());
+  waitingPieces_ += job.waiting.size();
   const bool isWhole =
       std::all_of(job.results.begin(), job.results.end(),
                   [](const std::string &result) { return !result.empty(); });
@@ -459,6 +484,7 @@
   const auto found = jobs_.find(key);
   if (found == jobs_.end())
     return;
+  waitingPieces_ -= found->second.waiting.size();
   Job job = std::move(found->second);
   jobs_.erase(found);
   PieceOutcome outcome;
@@ -510,7 +536,7 @@
       continue;
     }
     idle.push_back(std::move(it->second.job));
-    it = jobs_.erase(it);
+    eraseJob(it++);
   }
   return idle;
 }
@@ -578,17 +604,10 @@
     if (!entry.second.overdue)
       consider(entry.second.since +
                scaled(entry.second.expected, OverdueFactor) + OverdueSlack);
-  bool waits = false;
-  for (const auto &entry : jobs_) {
-    const Job &job = entry.second;
-    if (!job.waiting.empty()) {
-      waits = true;
-      consider(job.job.deadline - limits_.callTime);
-    } else if (job.job.ownsInputs && !job.inputsFreed) {
-      consider(job.sentAt + FetchTime);
-    }
-  }
-  if (waits) {
+  // Housekeeping finds the jobs that are late and the inputs that were fetched.
+  if (!jobs_.empty())
+    consider(now + IdleInterval);
+  if (waitingPieces_ > 0) {
     const TimePoint due = lastDispatch_ + spacing(now);
     if (due > now)
       consider(due);
@@ -606,11 +625,4 @@
          static_cast<std::int64_t>(usableWorkers(now));
 }
 
-std::size_t PieceGatherer::waitingPieces() const {
-  std::size_t count = 0;
-  for (const auto &entry : jobs_)
-    count += entry.second.waiting.size();
-  return count;
-}
-
 } // namespace auburnspring
--- a/src/auburnspring/serving/peer_network.cpp
+++ b/src/auburnspring/serving/peer_network.cpp
@@ -6,6 +6,9 @@
 
 #include <asio/post.hpp>
 
+#include <cmath>
+#include <limits>
+
 namespace auburnspring {
 
 namespace {
@@ -21,6 +24,9 @@
 /// A host that the store lists no more is kept while it is heard.
 constexpr Duration UnlistedLife = std::chrono::seconds(3);
 constexpr std::chrono::seconds ConnectionAge(3);
+/// A host with twice the processor gets work for all eight times as often: what
+/// it serves itself leaves it more than twice to spare.
+constexpr double CapacityExponent = 3;
 
 PeerMesh::Options meshOptions(const std::string &host, const Endpoint &listen,
                               const std::string &key,
@@ -51,12 +57,13 @@
 void PeerNetwork::stop() { mesh_.stop(); }
 
 void PeerNetwork::setListed(const std::string &host, const Endpoint &endpoint,
-                            TimePoint now) {
+                            double processorShare, TimePoint now) {
   if (host == options_.host)
     return;
   Peer &peer = peers_[host];
   const bool isNew = !peer.isListed;
   peer.endpoint = endpoint;
+  peer.processorShare = processorShare;
   peer.isListed = true;
   if (!isNew)
     return;
@@ -147,12 +154,16 @@
 std::string PeerNetwork::preferred(const std::string &subject,
                                    TimePoint now) const {
   std::string best = options_.host;
-  std::uint64_t bestWeight = 0;
+  double bestScore = -std::numeric_limits<double>::infinity();
   for (const std::string &host : alive(now)) {
-    const std::uint64_t weight = rendezvousWeight(subject, host);
-    if (weight < bestWeight)
+    const auto peer = peers_.find(host);
+    const double share = peer == peers_.end() ? options_.processorShare
+                                              : peer->second.processorShare;
+    const double score =
+        weightedRendezvous(subject, host, std::pow(share, CapacityExponent));
+    if (score <= bestScore)
       continue;
-    bestWeight = weight;
+    bestScore = score;
     best = host;
   }
   return best;
@@ -167,13 +178,14 @@
 void PeerNetwork::broadcast(const PeerMessage &message, std::size_t fanout) {
   if (peers_.empty())
     return;
+  // Always the same successors in the ring of names, so that the connections
+  // to them last.
   const std::size_t count = std::min(fanout, peers_.size());
-  auto next = peers_.upper_bound(lastBroadcastTo_);
+  auto next = peers_.upper_bound(options_.host);
   for (std::size_t i = 0; i < count; ++i, ++next) {
     if (next == peers_.end())
       next = peers_.begin();
     mesh_.send(next->first, next->second.endpoint, message);
-    lastBroadcastTo_ = next->first;
   }
 }
 
--- a/src/auburnspring/serving/serving_host.cpp
+++ b/src/auburnspring/serving/serving_host.cpp
@@ -4,8 +4,11 @@
 #include "auburnspring/base/log.h"
 
 #include <absl/strings/match.h>
+#include <absl/strings/numbers.h>
 #include <absl/strings/str_split.h>
 
+#include <fmt/format.h>
+
 #include <random>
 
 namespace auburnspring {
@@ -32,7 +35,8 @@
 }
 
 std::string hostEntry(const ServingSettings &settings) {
-  return toString(settings.peers) + " " + settings.dataCentre;
+  return fmt::format("{} {} {}", toString(settings.peers), settings.dataCentre,
+                     settings.processorShare);
 }
 
 } // namespace
@@ -41,7 +45,8 @@
                          const Dialect *dialect, MetadataStore *store)
     : io_(io), settings_(std::move(settings)), dialect_(dialect),
       peers_(io,
-             {settings_.host, settings_.peers, settings_.peerKey, randomSeed()},
+             {settings_.host, settings_.peers, settings_.peerKey, randomSeed(),
+              settings_.processorShare},
              [this](const std::string &from, const PeerMessage &message) {
                onPeerMessage(from, message);
              }),
@@ -199,7 +204,10 @@
     logEvent(LogLevel::Warning, "host_entry_ignored", {{"key", change.key}});
     return;
   }
-  peers_.setListed(host, *endpoint, now);
+  double share = 1;
+  if (fields.size() > 2 && (!absl::SimpleAtod(fields[2], &share) || share <= 0))
+    share = 1;
+  peers_.setListed(host, *endpoint, share, now);
 }
 
 void ServingHost::onStoreReachable(bool reachable, std::string_view) {
--- a/src/auburnspring/serving/settings.cpp
+++ b/src/auburnspring/serving/settings.cpp
@@ -59,6 +59,8 @@
                  Presence::Optional);
   reader.integer("memory_mb", &settings.memoryMegabytes, 16, 1 << 20,
                  Presence::Optional);
+  reader.number("processor_share", &settings.processorShare, 0.001, 1024,
+                Presence::Optional);
   reader.number("retry_ratio", &settings.retryRatio, 0, 10, Presence::Optional);
   reader.integer("retry_slack", &settings.retrySlack, 0, 1000000,
                  Presence::Optional);
