Peer mesh: a serving host keeps its connections to every peer

Change: 512 connections, replaced after 10 s; one on which nothing is acknowledged for 1.5 s ends, so that a silent one is noticed sooner than before.

--- a/include/auburnspring/peer/peer_mesh.h
+++ b/include/auburnspring/peer/peer_mesh.h
@@ -28,6 +28,9 @@
     /// A connection is replaced after this time, so that one that has gone
     /// silent is not used for long.
     Duration maxConnectionAge = std::chrono::seconds(5);
+    /// A connection on which sent bytes stay unacknowledged for this long ends;
+    /// zero leaves that to the system.
+    Duration unacknowledgedLimit{0};
     /// False if a new life of a host may bear a lower incarnation than the one
     /// before, since its wall clock may have been set back.
     bool incarnationsGrow = true;
--- a/src/auburnspring/peer/peer_mesh.cpp
+++ b/src/auburnspring/peer/peer_mesh.cpp
@@ -7,6 +7,8 @@
 #include <websocketpp/config/asio_no_tls_client.hpp>
 #include <websocketpp/server.hpp>
 
+#include <netinet/tcp.h>
+
 #include <atomic>
 #include <chrono>
 #include <map>
@@ -56,6 +58,7 @@
                const std::string &bytes);
   Link *openLink(const std::string &host, const Endpoint &endpoint);
   void closeLink(const std::string &host);
+  void limitSilence(const WsClient::connection_ptr &connection);
   void dropOldest();
   void onOpen(const std::string &host, const WsClient::connection_ptr &link);
   void onEnd(const std::string &host, const WsClient::connection_ptr &link);
@@ -171,6 +174,10 @@
                       connection](const websocketpp::connection_hdl &) {
     onEnd(host, connection);
   };
+  connection->set_tcp_post_init_handler(
+      [this, connection](const websocketpp::connection_hdl &) {
+        limitSilence(connection);
+      });
   connection->set_fail_handler(ended);
   connection->set_close_handler(ended);
   Link &link = links_[host];
@@ -180,6 +187,16 @@
   return &link;
 }
 
+void PeerMesh::Impl::limitSilence(const WsClient::connection_ptr &connection) {
+  if (options_.unacknowledgedLimit == Duration(0))
+    return;
+  const int millis = static_cast<int>(toMillis(options_.unacknowledgedLimit));
+  const int handle = connection->get_raw_socket().native_handle();
+  if (setsockopt(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, &millis,
+                 sizeof(millis)) != 0)
+    logEvent(LogLevel::Debug, "peer_socket_option_refused");
+}
+
 void PeerMesh::Impl::closeLink(const std::string &host) {
   const auto found = links_.find(host);
   const WsClient::connection_ptr connection = found->second.connection;
@@ -188,6 +205,7 @@
   connection->close(websocketpp::close::status::normal, "", ignored);
   // The handlers hold the connection itself; let it go.
   connection->set_open_handler(nullptr);
+  connection->set_tcp_post_init_handler(nullptr);
   connection->set_fail_handler(nullptr);
   connection->set_close_handler(nullptr);
 }
@@ -220,6 +238,7 @@
   // Posted, since the handler that runs now holds the connection.
   io_.post([connection] {
     connection->set_open_handler(nullptr);
+    connection->set_tcp_post_init_handler(nullptr);
     connection->set_fail_handler(nullptr);
     connection->set_close_handler(nullptr);
   });
--- a/src/auburnspring/serving/peer_network.cpp
+++ b/src/auburnspring/serving/peer_network.cpp
@@ -23,7 +23,11 @@
 constexpr Duration SuspectFor = std::chrono::seconds(2);
 /// A host that the store lists no more is kept while it is heard.
 constexpr Duration UnlistedLife = std::chrono::seconds(3);
-constexpr std::chrono::seconds ConnectionAge(3);
+constexpr std::chrono::seconds ConnectionAge(10);
+/// A connection on which nothing is acknowledged for so long has gone silent.
+constexpr Duration UnacknowledgedLimit = std::chrono::milliseconds(1500);
+/// A host that gathers answers every other one; far below a host's descriptors.
+constexpr std::size_t MaxPeerConnections = 512;
 /// A host with twice the processor gets work for all eight times as often: what
 /// it serves itself leaves it more than twice to spare.
 constexpr double CapacityExponent = 3;
@@ -37,6 +41,8 @@
   options.listen = listen;
   options.peerKey = key;
   options.maxConnectionAge = ConnectionAge;
+  options.maxConnections = MaxPeerConnections;
+  options.unacknowledgedLimit = UnacknowledgedLimit;
   options.incarnationsGrow = false;
   return options;
 }
--- a/src/auburnspring/serving/piece_desk.cpp
+++ b/src/auburnspring/serving/piece_desk.cpp
@@ -18,7 +18,7 @@
 /// A gathering host that owes an answer and is silent is asked after this time,
 /// and passed over when it does not answer the question either.
 constexpr Duration AskAfter = std::chrono::milliseconds(250);
-constexpr Duration AnswerWithin = std::chrono::milliseconds(400);
+constexpr Duration AnswerWithin = std::chrono::milliseconds(500);
 /// A job without an outcome is handed over again, in case a message was lost.
 constexpr Duration HandAgainAfter = std::chrono::milliseconds(1500);
 constexpr std::size_t MaxAnswerBytes = 4 << 20;
