Stop: requests long after SIGTERM are refused, the rest answered in time

Ruled out: the caller's own deadline (it had 1.3 s left), a crash of the worker. Change: from 2.5 s after SIGTERM on requests are refused as not run, with 50 ms to come back; a second before the end of the grace what is under way gets its answer (502 if it may have run). Before: 'a request long after the stop is refused, not held' failed (200, ran once, 504).

--- a/include/auburnspring/serving/caller_run.h
+++ b/include/auburnspring/serving/caller_run.h
@@ -27,6 +27,8 @@
             Finished finished);
 
   void start();
+  /// The host is about to stop: the caller gets the best answer there is.
+  void endWithHost();
 
 private:
   // Arrival.
@@ -34,6 +36,7 @@
   void chooseUpstreamPool();
   void onCallerGone();
   void onDeadline();
+  void endNow(int statusIfRun, std::string_view reason);
 
   // Stages.
   void startStages();
--- a/src/auburnspring/serving/caller_run.cpp
+++ b/src/auburnspring/serving/caller_run.cpp
@@ -125,14 +125,20 @@
   finish("caller_gone", 0, "caller_gone");
 }
 
-void CallerRun::onDeadline() {
+void CallerRun::onDeadline() { endNow(504, "deadline"); }
+
+void CallerRun::endWithHost() { endNow(502, "host_stops"); }
+
+void CallerRun::endNow(int statusIfRun, std::string_view reason) {
   if (done_)
     return;
+  if (callerGone_)
+    return finish("caller_gone", 0, reason);
   if (streamBegun_)
-    return abortStream("deadline");
+    return abortStream(reason);
   if (ran_ > 0 || hasLiveAttempt())
-    return refuse(504, "deadline");
-  refuse(503, "deadline_before_dispatch", DefaultRetryAfter);
+    return refuse(statusIfRun, reason);
+  refuse(503, reason, DefaultRetryAfter);
 }
 
 bool CallerRun::hasLiveAttempt() const {
--- a/src/auburnspring/serving/serving_host.cpp
+++ b/src/auburnspring/serving/serving_host.cpp
@@ -26,8 +26,15 @@
 /// After SIGTERM connections without a request stay open this long, so that
 /// callers that have not heard of it can still send.
 constexpr Duration IdleAfterStop = std::chrono::milliseconds(3500);
-/// The process ends this long before it would be killed.
+/// Requests that come this long after SIGTERM are refused: they could be cut
+/// off in the middle, and another host serves them now.
+constexpr Duration RefuseAfterStop = std::chrono::milliseconds(2500);
+/// What is still under way gets its answer this long before the process would
+/// be killed, and the process ends a little later.
+constexpr Duration AnswerMargin = std::chrono::milliseconds(1000);
 constexpr Duration StopMargin = std::chrono::milliseconds(400);
+/// When a caller that meets a stopping host may try another one.
+constexpr Duration ReturnAfterStop = std::chrono::milliseconds(50);
 
 std::uint64_t randomSeed() {
   std::random_device device;
@@ -297,6 +304,12 @@
 // Callers and the platform.
 
 void ServingHost::onCaller(std::shared_ptr<http::Exchange> exchange) {
+  if (stopping_ && steadyNow() - stoppingSince_ > RefuseAfterStop) {
+    const std::string id = dialect_->readCaller(exchange->head).id;
+    logEvent(LogLevel::Info, "request_done",
+             {{"id", id}, {"outcome", "not_run"}, {"reason", "stopping"}});
+    return exchange->respond(dialect_->ownAnswer(503, id, ReturnAfterStop), "");
+  }
   auto run = std::make_shared<CallerRun>(
       &context_, std::move(exchange),
       [this](CallerRun *finished) { runs_.erase(finished); });
@@ -393,6 +406,14 @@
     idleClosed_ = true;
     callers_.close();
   }
+  if (since >= settings_.stopTimeout - AnswerMargin) {
+    std::vector<std::shared_ptr<CallerRun>> left;
+    left.reserve(runs_.size());
+    for (const auto &run : runs_)
+      left.push_back(run.second);
+    for (const auto &run : left)
+      run->endWithHost();
+  }
   const bool isIdle =
       idleClosed_ && runs_.empty() && callers_.connectionCount() == 0;
   if (!isIdle && since < settings_.stopTimeout - StopMargin)
