--- a/include/auburnspring/decision/placement.h
+++ b/include/auburnspring/decision/placement.h
@@ -29,7 +29,6 @@
   absl::Span<const std::string> avoid;
   /// Results of stages that the upstream will fetch, by data centre.
   absl::Span<const std::string> inputDataCentres;
-  std::string_view dataCentre;
 };
 
 /// The plain upstream that is expected to answer soonest and well: the better
--- a/include/auburnspring/serving/caller_run.h
+++ b/include/auburnspring/serving/caller_run.h
@@ -23,6 +23,9 @@
 public:
   using Finished = std::function<void(CallerRun *)>;
 
+  /// When a caller may come back after a refusal without a better estimate.
+  static constexpr Duration DefaultReturn = std::chrono::milliseconds(300);
+
   CallerRun(ServingContext *context, std::shared_ptr<http::Exchange> exchange,
             Finished finished);
 
--- a/include/auburnspring/serving/piece_desk.h
+++ b/include/auburnspring/serving/piece_desk.h
@@ -61,7 +61,6 @@
 
   Counters counters() const { return counters_; }
   std::size_t outstandingCount() const { return outstanding_.size(); }
-  Duration backlogOf(const std::string &pool, TimePoint now) const;
 
 private:
   using JobKey = std::pair<std::string, std::uint32_t>;
--- a/include/auburnspring/serving/settings.h
+++ b/include/auburnspring/serving/settings.h
@@ -25,7 +25,6 @@
   std::string logLevel = "info";
   /// Lines that one event may write in a second.
   std::int64_t logLinesPerSecond = 50;
-  std::int64_t memoryMegabytes = 256;
   /// Share of a processor that this host has.
   double processorShare = 1;
   /// Repeats that all hosts together may add to a pool in any window: a ratio
@@ -35,8 +34,6 @@
   Duration retryWindow = std::chrono::seconds(10);
   /// From SIGTERM until the process must have ended.
   Duration stopTimeout = std::chrono::seconds(8);
-  /// How long the platform takes to act on readiness.
-  Duration settleTime = std::chrono::seconds(3);
 };
 
 /// Parses a settings file in JSON with comments. All faults found are added to
--- a/src/auburnspring/decision/placement.cpp
+++ b/src/auburnspring/decision/placement.cpp
@@ -1,5 +1,6 @@
 #include "auburnspring/decision/placement.h"
 
+#include "auburnspring/decision/engine_speed.h"
 #include "auburnspring/decision/rendezvous.h"
 
 #include <algorithm>
@@ -11,8 +12,6 @@
 
 /// What a peer said of its load counts this long.
 constexpr Duration PeerLoadLife = std::chrono::milliseconds(1500);
-/// Prompt tokens that an engine reads in a millisecond, before it has shown.
-constexpr double PrefillTokensPerMilli = 100;
 /// What each running request adds to the time to the first event, in ms.
 constexpr double StepMillisPerRunning = 3;
 /// Cost in ms of an engine without a free slot, or without memory.
@@ -85,7 +84,7 @@
       withPeers(engine, now, engine.heldTokens, &PeerLoad::heldTokens);
   const std::int64_t needed = request.promptTokens + request.outputTokens;
   EngineLoad load;
-  load.delayMillis = static_cast<double>(prefill) / PrefillTokensPerMilli +
+  load.delayMillis = toMillis(readingTime(prefill)) +
                      static_cast<double>(running) * StepMillisPerRunning;
   load.isFull = running >= limits.slots ||
                 static_cast<double>(held + needed) >
@@ -142,7 +141,7 @@
     const bool isCached = !subject.empty() && i == 0;
     const std::int64_t toRead = request.promptTokens - (isCached ? shared : 0);
     double millis = loadOf(*found[i], limits, request, now).delayMillis +
-                    static_cast<double>(toRead) / PrefillTokensPerMilli;
+                    toMillis(readingTime(toRead));
     if (!subject.empty() && !isCached)
       millis += ReadAgainMillis;
     for (const std::string &dataCentre : request.inputDataCentres)
--- a/src/auburnspring/serving/caller_stages.cpp
+++ b/src/auburnspring/serving/caller_stages.cpp
@@ -2,6 +2,7 @@
 
 #include "auburnspring/base/clock.h"
 #include "auburnspring/base/log.h"
+#include "auburnspring/decision/engine_speed.h"
 #include "auburnspring/decision/request_value.h"
 
 #include <algorithm>
@@ -22,8 +23,6 @@
 /// Results of a stage that are larger than this in all are kept within a data
 /// centre where that costs little time.
 constexpr std::int64_t BytesThatMatter = 100000;
-/// Prompt tokens that an engine reads in a millisecond.
-constexpr std::int64_t PrefillTokensPerMilli = 100;
 
 const char *verdictName(PieceVerdict verdict) {
   switch (verdict) {
@@ -76,8 +75,7 @@
 }
 
 Duration CallerRun::restAfter(std::uint32_t stage) const {
-  const Duration prefill =
-      std::chrono::milliseconds(request_.promptTokens / PrefillTokensPerMilli);
+  const Duration prefill = readingTime(request_.promptTokens);
   const Duration first = std::max(
       FirstEventTime, context_->firstEventPace.expect(poolName_, steadyNow()));
   // The longest chain of stages that come after this one.
--- a/src/auburnspring/serving/piece_desk.cpp
+++ b/src/auburnspring/serving/piece_desk.cpp
@@ -390,10 +390,4 @@
   }
 }
 
-Duration PieceDesk::backlogOf(const std::string &pool, TimePoint now) const {
-  const auto found = gatherings_.find(pool);
-  return found == gatherings_.end() ? Duration(0)
-                                    : found->second->gatherer.backlog(now);
-}
-
 } // namespace auburnspring
--- a/src/auburnspring/serving/settings.cpp
+++ b/src/auburnspring/serving/settings.cpp
@@ -57,8 +57,6 @@
   reader.text("log_level", &settings.logLevel, Presence::Optional);
   reader.integer("log_lines_per_second", &settings.logLinesPerSecond, 1, 100000,
                  Presence::Optional);
-  reader.integer("memory_mb", &settings.memoryMegabytes, 16, 1 << 20,
-                 Presence::Optional);
   reader.number("processor_share", &settings.processorShare, 0.001, 1024,
                 Presence::Optional);
   reader.number("retry_ratio", &settings.retryRatio, 0, 10, Presence::Optional);
@@ -68,8 +66,6 @@
       readSeconds(&reader, "retry_window_s", settings.retryWindow);
   settings.stopTimeout =
       readSeconds(&reader, "stop_timeout_s", settings.stopTimeout);
-  reader.millis("settle_ms", &settings.settleTime, 0, 600000,
-                Presence::Optional);
   reader.finish();
   if (faults->size() > faultsBefore)
     return std::nullopt;
