Tests: a load report no longer takes a fault meant for a call

The stand-in's counted faults were used up by load reports, which each host asks for twice a second; beside load one came before the booking. Shown by: lose=1, one GET /v1/load, then /control: lose was 0 before, is 1 now. Ruled out: the product, whose outcome was right for an answer that was not lost. Checks and bounds are as they were.

--- a/stand_ins/common/faults.cpp
+++ b/stand_ins/common/faults.cpp
@@ -48,10 +48,12 @@
           {"freeze", frozen_},      {"leave", leaving_}};
 }
 
-FaultDecision Faults::next() {
+FaultDecision Faults::next(bool usesUp) {
   const std::lock_guard<std::mutex> lock(mutex_);
   FaultDecision decision;
   decision.slowMillis = slowMillis_;
+  if (!usesUp)
+    return decision;
   decision.fail = useUp(&fail_);
   decision.lose = !decision.fail && useUp(&lose_);
   decision.cut = !decision.fail && !decision.lose && useUp(&cut_);
--- a/stand_ins/common/faults.h
+++ b/stand_ins/common/faults.h
@@ -27,7 +27,7 @@
   std::string set(const nlohmann::json &control);
   nlohmann::json get() const;
 
-  FaultDecision next();
+  FaultDecision next(bool usesUp);
   bool isFrozen() const;
   bool isLeaving() const;
 
--- a/stand_ins/common/stand_in.cpp
+++ b/stand_ins/common/stand_in.cpp
@@ -51,7 +51,8 @@
       return send(control(read), &response);
     if (standIn_->isBeyondFaults(read.path))
       return send(standIn_->handle(read), &response);
-    FaultDecision fault = standIn_->faults().next();
+    FaultDecision fault =
+        standIn_->faults().next(standIn_->usesUpFaults(read.path));
     std::this_thread::sleep_for(std::chrono::milliseconds(fault.slowMillis));
     while (standIn_->faults().isFrozen() && !standIn_->isStopping())
       std::this_thread::sleep_for(FreezePoll);
--- a/stand_ins/common/stand_in.h
+++ b/stand_ins/common/stand_in.h
@@ -51,6 +51,12 @@
     return path == "/healthz";
   }
 
+  /// Whether a request takes one of a counted number of faults. Load reports
+  /// come at any time and would take one that is meant for a call.
+  virtual bool usesUpFaults(const std::string &path) const {
+    return path != "/v1/load";
+  }
+
   /// Listens until SIGTERM or SIGINT and returns the exit code.
   int run(const StandInOptions &options);
 
