Verdict: what an earlier attempt may have run is never told not run

Cause: decideNext looked at the last attempt only. A repeatable call lost by one worker and then refused by three others was answered 503 not run, which is false. Ruled out: once-only calls (they are never sent again after such an attempt). Change: the count of upstreams that may have run it decides too; the same for inputs that are gone after a run. Before: 'a call that one worker may have run is never told not run' got 503 for 502. After: it and the verdict tests pass.

--- a/include/auburnspring/decision/attempt_verdict.h
+++ b/include/auburnspring/decision/attempt_verdict.h
@@ -53,7 +53,9 @@
 /// without it.
 NextStep decideNext(const ServedRoute &route, const AttemptReport &report,
                     const AttemptLimits &limits);
-NextStep afterBudgetSpent(const AttemptReport &report);
+/// `ran` is as in AttemptLimits: what an earlier attempt may have run is never
+/// told not run.
+NextStep afterBudgetSpent(const AttemptReport &report, std::int64_t ran);
 
 } // namespace auburnspring
 
--- a/src/auburnspring/decision/attempt_verdict.cpp
+++ b/src/auburnspring/decision/attempt_verdict.cpp
@@ -26,15 +26,15 @@
     return NextStep::Relay;
   const bool mayTry = limits.tried < MaxTries && limits.hasTime;
   if (!mayHaveRun(report))
-    return mayTry ? NextStep::Elsewhere : afterBudgetSpent(report);
+    return mayTry ? NextStep::Elsewhere : afterBudgetSpent(report, limits.ran);
   const bool mayRepeat =
       route.mayRunAgain() && limits.ran < route.maxAttempts && mayTry;
-  return mayRepeat ? NextStep::Elsewhere : afterBudgetSpent(report);
+  return mayRepeat ? NextStep::Elsewhere : afterBudgetSpent(report, limits.ran);
 }
 
-NextStep afterBudgetSpent(const AttemptReport &report) {
+NextStep afterBudgetSpent(const AttemptReport &report, std::int64_t ran) {
   if (!mayHaveRun(report))
-    return NextStep::SayNotRun;
+    return ran > 0 ? NextStep::SayUnknown : NextStep::SayNotRun;
   // A failure of the upstream's own is still its whole answer.
   return isUsable(report) ? NextStep::Relay : NextStep::SayUnknown;
 }
--- a/src/auburnspring/decision/serving_decisions_test.cpp
+++ b/src/auburnspring/decision/serving_decisions_test.cpp
@@ -44,7 +44,8 @@
   CHECK(decideNext(once, notSent, {0, 1, false}) == NextStep::SayNotRun);
   AttemptReport refused{true, true, true, false, 503};
   CHECK(decideNext(once, refused, {0, 1, true}) == NextStep::Elsewhere);
-  CHECK(afterBudgetSpent(refused) == NextStep::SayNotRun);
+  CHECK(afterBudgetSpent(refused, 0) == NextStep::SayNotRun);
+  CHECK(afterBudgetSpent(refused, 1) == NextStep::SayUnknown);
   AttemptReport broken{true, false, false, false, 0};
   CHECK(decideNext(once, broken, {1, 1, true}) == NextStep::SayUnknown);
   AttemptReport unsignedOk{true, true, false, false, 200};
--- a/src/auburnspring/serving/caller_attempts.cpp
+++ b/src/auburnspring/serving/caller_attempts.cpp
@@ -230,7 +230,7 @@
   if (step == NextStep::Elsewhere && hasLiveAttempt())
     return;
   if (step == NextStep::Elsewhere && !spendRepeat())
-    step = afterBudgetSpent(report);
+    step = afterBudgetSpent(report, ran_);
   if (step != NextStep::Relay && hasLiveAttempt())
     return;
   if (step == NextStep::Elsewhere) {
@@ -253,7 +253,7 @@
   if (plan_.restart())
     return submitReady();
   streamBegun_ ? abortStream("inputs_gone")
-               : refuse(503, "inputs_gone", DefaultReturn);
+               : refuse(ran_ > 0 ? 502 : 503, "inputs_gone", DefaultReturn);
 }
 
 void CallerRun::armHedge() {
