Store: a few hosts of each data centre watch it and tell the others

Ruled out: a longer pace of watches (a change must be in force in two to three seconds); stale reads (seconds old); one watcher a data centre (its cut would show on all its hosts).

Change: StoreWatchDuty ranks the hosts of a data centre by rendezvous hashing weighted by processor; a host watches if fewer than three of those ranked above it are heard. Watchers tell the others their revision, and these ask for what they lack. Being behind is now timed by itself. A watch from before an outage is restarted when the store is back.

--- a/include/auburnspring/decision/peer_message.h
+++ b/include/auburnspring/decision/peer_message.h
@@ -146,6 +146,12 @@
   bool isAnswer = false;
 };
 
+/// A host that watches the store tells the others of its data centre how far
+/// its copy goes; several times a second, and at each change.
+struct StoreNews {
+  std::int64_t revision = 0;
+};
+
 /// Asks for what the sender's copy of the store lacks.
 struct ReplicaRequest {
   std::int64_t revision = 0;
@@ -165,7 +171,7 @@
     std::variant<Ping, Ack, BundleRequest, BundleReply, LedgerForward,
                  LedgerForwarded, HostBeat, PieceSubmit, PieceWithdraw,
                  PieceRelease, PieceOutcomes, GathererPing, ReplicaRequest,
-                 ReplicaReply>;
+                 ReplicaReply, StoreNews>;
 
 } // namespace auburnspring
 
--- a/include/auburnspring/serving/serving_host.h
+++ b/include/auburnspring/serving/serving_host.h
@@ -1,6 +1,7 @@
 #ifndef AUBURNSPRING_SERVING_SERVING_HOST_H
 #define AUBURNSPRING_SERVING_SERVING_HOST_H
 
+#include "auburnspring/decision/store_watch_duty.h"
 #include "auburnspring/http/server.h"
 #include "auburnspring/serving/caller_run.h"
 #include "auburnspring/serving/peer_network.h"
@@ -54,6 +55,9 @@
   void onBeat(const std::string &from, const HostBeat &beat);
   void onReplicaRequest(const std::string &from, const ReplicaRequest &request);
   void onReplicaReply(const ReplicaReply &reply);
+  void onNews(const std::string &from, const StoreNews &news);
+  void askIfBehind();
+  void tellNews();
   HostBeat beat() const;
 
   // Callers and the platform.
@@ -78,8 +82,7 @@
   http::Server metrics_;
   asio::steady_timer tickTimer_;
   std::unordered_map<CallerRun *, std::shared_ptr<CallerRun>> runs_;
-  /// Beats in a row in which a peer knew more of the store than this host.
-  std::int64_t beatsBehind_ = 0;
+  StoreWatchDuty duty_;
   std::uint64_t ticks_ = 0;
   /// While changes of a peer are applied that has the store.
   bool removalsAreCertain_ = false;
--- a/include/auburnspring/serving/store_follower.h
+++ b/include/auburnspring/serving/store_follower.h
@@ -43,6 +43,10 @@
   void applyFromPeer(bool isWhole, std::int64_t revision,
                      const std::vector<StoreChange> &changes);
 
+  /// Whether this host watches the store or hears of changes from peers.
+  void setWatching(bool watching);
+  bool isWatching() const { return watching_; }
+
   /// How many hosts ask the store.
   void setHostCount(std::size_t hosts) { hosts_ = hosts; }
 
@@ -59,6 +63,8 @@
   void registerHost();
   void scheduleRenewal(Duration after);
   void setReachable(bool reachable, std::string_view why);
+  void restartWatch();
+  void onWatch(const absl::StatusOr<StoreRead> &result);
   void publish(const std::vector<StoreChange> &news);
   Duration jittered(Duration span);
 
@@ -74,6 +80,11 @@
   bool reachable_ = false;
   bool hasTold_ = false;
   TimePoint watchedAt_;
+  bool watching_ = true;
+  /// Number of the watch that the next one follows; an older one has been
+  /// given up, and what it still tells is taken.
+  std::uint64_t watchNumber_ = 0;
+  bool watchPending_ = false;
   bool leaving_ = false;
   bool hasRead_ = false;
   std::int64_t failures_ = 0;
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -8,6 +8,7 @@
 #include <fmt/format.h>
 #include <getopt.h>
 
+#include <algorithm>
 #include <csignal>
 #include <cstdlib>
 #include <filesystem>
@@ -28,6 +29,8 @@
 constexpr Duration Recovery = std::chrono::seconds(8);
 constexpr Duration CalmTime = std::chrono::seconds(3);
 constexpr Duration WindDown = std::chrono::seconds(5);
+/// One cause often breaks a promise many times.
+constexpr std::size_t BreachesPrinted = 8;
 
 constexpr const char *UsageText =
     R"(auburnspring-soak - plays seeded faults against real processes
@@ -128,13 +131,14 @@
   crowd.stop();
   pass(io, WindDown);
   book.close(calmFrom);
-  for (const std::string &breach : book.breaches())
-    fmt::print("broken seed={} {}\n", options.seed, breach);
+  const std::vector<std::string> &breaches = book.breaches();
+  for (std::size_t i = 0; i < std::min(breaches.size(), BreachesPrinted); ++i)
+    fmt::print("broken seed={} {}\n", options.seed, breaches[i]);
   fmt::print("seed={} hosts={} sent={} served={} calm_share={:.3f} "
              "broken={} dir={}\n",
              options.seed, options.hosts, book.sentCount(), book.servedCount(),
-             book.calmShare(), book.breaches().size(), options.folder);
-  return book.breaches().empty() ? ExitOk : ExitBroken;
+             book.calmShare(), breaches.size(), options.folder);
+  return breaches.empty() ? ExitOk : ExitBroken;
 }
 
 } // namespace
--- /dev/null
+++ b/src/auburnspring/decision/store_watch_duty.cpp
@@ -0,0 +1,95 @@
+#include "auburnspring/decision/store_watch_duty.h"
+
+#include "auburnspring/decision/rendezvous.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace auburnspring {
+
+namespace {
+
+/// Hosts with more processor watch more often than their share: telling the
+/// others costs a small host more than it has to spare.
+constexpr double CapacityExponent = 3;
+
+} // namespace
+
+StoreWatchDuty::StoreWatchDuty(std::string self, const Host &host)
+    : self_(std::move(self)), host_(host), score_(scoreOf(self_, host)) {}
+
+double StoreWatchDuty::scoreOf(const std::string &name,
+                               const Host &host) const {
+  return weightedRendezvous("store/" + host.dataCentre, name,
+                            std::pow(host.processorShare, CapacityExponent));
+}
+
+void StoreWatchDuty::setHost(const std::string &name, const Host &host) {
+  if (name == self_)
+    return;
+  Peer &peer = peers_[name];
+  peer.host = host;
+  peer.score = scoreOf(name, host);
+}
+
+void StoreWatchDuty::removeHost(const std::string &name) { peers_.erase(name); }
+
+void StoreWatchDuty::onNews(const std::string &from, TimePoint now) {
+  const auto found = peers_.find(from);
+  if (found != peers_.end())
+    found->second.newsAt = now;
+}
+
+void StoreWatchDuty::onRevision(const std::string &from, std::int64_t revision,
+                                std::int64_t own, TimePoint now) {
+  if (revision <= own || revision < ahead_)
+    return;
+  if (ahead_ <= own)
+    behindSince_ = now;
+  ahead_ = revision;
+  aheadHost_ = from;
+}
+
+bool StoreWatchDuty::mustWatch(TimePoint now) const {
+  if (peers_.size() < SmallFleet)
+    return true;
+  std::size_t rank = 0;
+  for (const auto &entry : peers_)
+    if (entry.second.host.dataCentre == host_.dataCentre &&
+        entry.second.score > score_)
+      ++rank;
+  if (rank < WatchersPerDataCentre)
+    return true;
+  const auto steps = static_cast<std::int64_t>(
+      std::min(rank - WatchersPerDataCentre, LongestTakeOver));
+  const Duration life = NewsLife + TakeOverStep * steps;
+  std::size_t heard = 0;
+  for (const auto &entry : peers_)
+    if (entry.second.host.dataCentre == host_.dataCentre &&
+        entry.second.score > score_ && now < entry.second.newsAt + life)
+      ++heard;
+  return heard < WatchersPerDataCentre;
+}
+
+std::vector<std::string> StoreWatchDuty::listeners() const {
+  std::vector<std::string> names;
+  if (peers_.size() < SmallFleet)
+    return names;
+  for (const auto &entry : peers_)
+    if (entry.second.host.dataCentre == host_.dataCentre)
+      names.push_back(entry.first);
+  return names;
+}
+
+std::optional<std::string> StoreWatchDuty::whomToAsk(std::int64_t own,
+                                                     TimePoint now) {
+  if (ahead_ <= own)
+    return std::nullopt;
+  const Duration patience = mustWatch(now) ? OwnWatchTime : Duration(0);
+  if (now < behindSince_ + patience || now < askedAt_ + AskInterval)
+    return std::nullopt;
+  askedAt_ = now;
+  return aheadHost_;
+}
+
+} // namespace auburnspring
--- a/src/auburnspring/serving/serving_host.cpp
+++ b/src/auburnspring/serving/serving_host.cpp
@@ -18,11 +18,10 @@
 constexpr Duration TickInterval = std::chrono::milliseconds(100);
 /// A beat every so many ticks.
 constexpr std::uint64_t TicksPerBeat = 2;
+/// A host that watches the store says so every so many ticks.
+constexpr std::uint64_t TicksPerNews = 2;
 /// Peers that one beat goes to.
 constexpr std::size_t BeatFanout = 12;
-/// Beats in a row in which a peer is ahead before its changes are asked for;
-/// this host's own watch is usually as fast.
-constexpr std::int64_t BeatsBehindToAsk = 2;
 /// After SIGTERM connections without a request stay open this long, so that
 /// callers that have not heard of it can still send.
 constexpr Duration IdleAfterStop = std::chrono::milliseconds(3500);
@@ -85,7 +84,8 @@
                [this](const std::shared_ptr<http::Exchange> &exchange) {
                  onMetrics(exchange.get());
                }),
-      tickTimer_(io) {
+      tickTimer_(io),
+      duty_(settings_.host, {settings_.dataCentre, settings_.processorShare}) {
   context_.io = &io;
   context_.dialect = dialect;
   context_.pieces = &pieces_;
@@ -134,6 +134,7 @@
   }
   if (context_.registry.changes() != before)
     pieces_.onUpstreamsChanged();
+  tellNews();
 }
 
 void ServingHost::onConfiguration(const StoreChange &change) {
@@ -205,8 +206,10 @@
 void ServingHost::onHost(const StoreChange &change) {
   const std::string host = change.key.substr(dialect_->hostPrefix().size());
   const TimePoint now = steadyNow();
-  if (change.removed)
+  if (change.removed) {
+    duty_.removeHost(host);
     return peers_.setUnlisted(host, now);
+  }
   const std::vector<std::string> fields = absl::StrSplit(change.value, ' ');
   const std::optional<Endpoint> endpoint = parseEndpoint(fields[0]);
   if (!endpoint) {
@@ -217,6 +220,7 @@
   if (fields.size() > 2 && (!absl::SimpleAtod(fields[2], &share) || share <= 0))
     share = 1;
   peers_.setListed(host, *endpoint, share, now);
+  duty_.setHost(host, {fields.size() > 1 ? fields[1] : "", share});
 }
 
 void ServingHost::onStoreReachable(bool reachable, std::string_view) {
@@ -244,6 +248,8 @@
     return onReplicaRequest(from, *request);
   if (const auto *reply = std::get_if<ReplicaReply>(&message))
     return onReplicaReply(*reply);
+  if (const auto *news = std::get_if<StoreNews>(&message))
+    return onNews(from, *news);
   if (const auto *ping = std::get_if<GathererPing>(&message);
       ping != nullptr && !ping->isAnswer)
     peers_.send(from, GathererPing{true});
@@ -259,14 +265,29 @@
             context_.registry.byId(load.upstream))
       upstream->peers[from] = {load.inFlight, load.prefillTokens,
                                load.heldTokens, now};
-  if (beat.storeRevision <= follower_.replica().revision()) {
-    beatsBehind_ = 0;
-    return;
-  }
-  if (++beatsBehind_ < BeatsBehindToAsk)
+  duty_.onRevision(from, beat.storeRevision, follower_.replica().revision(),
+                   now);
+  askIfBehind();
+}
+
+void ServingHost::onNews(const std::string &from, const StoreNews &news) {
+  const TimePoint now = steadyNow();
+  duty_.onNews(from, now);
+  duty_.onRevision(from, news.revision, follower_.replica().revision(), now);
+  askIfBehind();
+}
+
+void ServingHost::askIfBehind() {
+  const std::int64_t own = follower_.replica().revision();
+  if (const auto host = duty_.whomToAsk(own, steadyNow()))
+    peers_.send(*host, ReplicaRequest{own});
+}
+
+void ServingHost::tellNews() {
+  if (!follower_.isWatching() || !follower_.isReachable() || stopping_)
     return;
-  beatsBehind_ = 0;
-  peers_.send(from, ReplicaRequest{follower_.replica().revision()});
+  for (const std::string &host : duty_.listeners())
+    peers_.send(host, StoreNews{follower_.replica().revision()});
 }
 
 void ServingHost::onReplicaReply(const ReplicaReply &reply) {
@@ -369,6 +390,10 @@
   const TimePoint now = steadyNow();
   if (++ticks_ % TicksPerBeat == 0)
     peers_.broadcast(beat(), BeatFanout);
+  if (ticks_ % TicksPerNews == 0)
+    tellNews();
+  follower_.setWatching(duty_.mustWatch(now));
+  askIfBehind();
   const std::vector<std::string> gone = context_.registry.expire(now);
   for (const std::string &key : gone)
     logEvent(LogLevel::Info, "upstream_changed",
--- a/src/auburnspring/serving/store_follower.cpp
+++ b/src/auburnspring/serving/store_follower.cpp
@@ -12,8 +12,8 @@
 /// Everything in the store is followed by one watch; what is of no concern is
 /// small and changes rarely.
 constexpr const char *EverythingPrefix = "";
-/// A watch that has nothing to tell is answered after this time. A longer one
-/// would leave a silent connection unnoticed.
+/// A watch that has nothing to tell is answered after this time. It and the
+/// time-out of a call bound how long a silent connection goes unnoticed.
 constexpr Duration WatchWait = std::chrono::seconds(5);
 /// Watches that are answered sooner follow each other at an interval that grows
 /// with the fleet, so that a storm of changes costs few calls. It stays well
@@ -55,6 +55,26 @@
            {{"why", std::string(why)},
             {"revision", static_cast<long>(replica_.revision())}});
   events_.onReachable(reachable, why);
+  if (reachable)
+    restartWatch();
+}
+
+void StoreFollower::setWatching(bool watching) {
+  if (watching_ == watching)
+    return;
+  watching_ = watching;
+  logEvent(LogLevel::Info, "store_watch",
+           {{"watching", watching},
+            {"revision", static_cast<long>(replica_.revision())}});
+  if (watching && hasRead_ && !watchPending_)
+    scheduleRead(Duration(0));
+}
+
+void StoreFollower::restartWatch() {
+  // A watch from before an outage may never be answered, though the store is
+  // back.
+  if (hasRead_ && watching_ && watchPending_)
+    scheduleRead(Duration(0));
 }
 
 void StoreFollower::publish(const std::vector<StoreChange> &news) {
@@ -74,47 +94,61 @@
     setReachable(true, "read");
     hasRead_ = true;
     publish(replica_.replace(result->changes, result->revision));
-    watch();
+    if (watching_)
+      watch();
   });
 }
 
 void StoreFollower::scheduleRead(Duration after) {
   readTimer_.expires_after(after);
   readTimer_.async_wait([this](asio::error_code error) {
-    if (!error)
-      hasRead_ ? watch() : read();
+    if (error)
+      return;
+    if (!hasRead_)
+      read();
+    else if (watching_)
+      watch();
   });
 }
 
 void StoreFollower::watch() {
   ++calls_;
   watchedAt_ = steadyNow();
+  watchPending_ = true;
   store_->watch(
       EverythingPrefix, replica_.revision(), WatchWait,
-      [this](absl::StatusOr<StoreRead> result) {
-        if (result.ok()) {
-          setReachable(true, "watch");
+      [this, number = ++watchNumber_](const absl::StatusOr<StoreRead> &result) {
+        if (result.ok())
           publish(replica_.apply(result->changes, result->revision));
-          const Duration took = steadyNow() - watchedAt_;
-          const Duration pace =
-              std::clamp(PacePerHost * static_cast<std::int64_t>(hosts_),
-                         ShortestWatch, LongestPace);
-          return took < pace ? scheduleRead(pace - took) : watch();
-        }
-        if (result.status().code() == absl::StatusCode::kOutOfRange) {
-          logEvent(LogLevel::Info, "store_history_gone",
-                   {{"revision", static_cast<long>(replica_.revision())}});
-          return read();
-        }
-        // A cut watch alone does not mean that the store is away; a renewal
-        // that fails too does.
-        ++failures_;
-        const Duration backoff =
-            FirstRetry * (1 << std::min<std::int64_t>(failures_, 3));
-        scheduleRead(jittered(std::min(LongestRetry, backoff)));
+        if (number == watchNumber_)
+          onWatch(result);
       });
 }
 
+void StoreFollower::onWatch(const absl::StatusOr<StoreRead> &result) {
+  watchPending_ = false;
+  if (result.ok()) {
+    setReachable(true, "watch");
+    const Duration took = steadyNow() - watchedAt_;
+    const Duration pace =
+        std::clamp(PacePerHost * static_cast<std::int64_t>(hosts_),
+                   ShortestWatch, LongestPace);
+    return scheduleRead(std::max(Duration(0), pace - took));
+  }
+  if (result.status().code() == absl::StatusCode::kOutOfRange) {
+    logEvent(LogLevel::Info, "store_history_gone",
+             {{"revision", static_cast<long>(replica_.revision())}});
+    // What a host that no longer watches lacks comes from its peers.
+    return watching_ ? read() : void();
+  }
+  // A cut watch alone does not mean that the store is away; a renewal that
+  // fails too does.
+  ++failures_;
+  const Duration backoff =
+      FirstRetry * (1 << std::min<std::int64_t>(failures_, 3));
+  scheduleRead(jittered(std::min(LongestRetry, backoff)));
+}
+
 void StoreFollower::registerHost() {
   ++calls_;
   store_->createLease(LeaseLife, [this](absl::StatusOr<std::int64_t> lease) {
--- a/src/auburnspring/wire/peer_codec.cpp
+++ b/src/auburnspring/wire/peer_codec.cpp
@@ -266,6 +266,10 @@
   return {{"rev", request.revision}};
 }
 
+nlohmann::json toJson(const StoreNews &news) {
+  return {{"rev", news.revision}};
+}
+
 nlohmann::json toJson(const ReplicaReply &reply) {
   nlohmann::json changes = nlohmann::json::array();
   for (const StoreChange &change : reply.changes)
@@ -329,6 +333,8 @@
     return PeerMessage(ReplicaRequest{json.at("rev").get<std::int64_t>()});
   case 13:
     return PeerMessage(readReplica(json));
+  case 14:
+    return PeerMessage(StoreNews{json.at("rev").get<std::int64_t>()});
   default:
     return absl::UnimplementedError(
         absl::StrCat("a peer message has the unknown kind ", kind));
--- a/src/auburnspring/wire/peer_codec_test.cpp
+++ b/src/auburnspring/wire/peer_codec_test.cpp
@@ -124,6 +124,7 @@
   CHECK(back.verdict == PieceVerdict::InputsGone);
   CHECK(back.backlog == Duration(77));
   CHECK(back.results == outcome.results);
+  CHECK(overTheWire(StoreNews{17}).revision == 17);
   const HostBeat beat = overTheWire(HostBeat{9, true, true, {{"u", 1, 2, 3}}});
   CHECK(beat.storeRevision == 9);
   CHECK(beat.storeReachable);
