Placement: what reading shared parts again costs grows with their tokens

Cause: a fixed 150 ms held a request with 200 shared tokens to a busy engine as firmly as one with 5,000, and what spilled over went to any engine.

Change: 0.08 ms a token, half of it for the second in rank, which has probably read the parts of what spilled before.

Ruled out by it: spilling as the cause of tokens read again; they follow the engines that crash and come back empty.

--- a/src/auburnspring/decision/placement.cpp
+++ b/src/auburnspring/decision/placement.cpp
@@ -18,9 +18,12 @@
 constexpr double FullPenaltyMillis = 4000;
 /// Share of an engine's memory that estimates may fill.
 constexpr double MemoryShare = 0.9;
-/// How much sooner an engine must be that has to read the shared parts again,
-/// which costs the whole pool.
-constexpr double ReadAgainMillis = 150;
+/// How much sooner an engine must be for each token of shared parts that it has
+/// to read again, in ms: besides its own time that holds up all others there.
+constexpr double ReadAgainMillisPerToken = 0.08;
+/// The second in rank has probably read the parts of requests that the first
+/// had no place for.
+constexpr double SecondReaderShare = 0.5;
 /// What results from another data centre cost, in ms.
 constexpr double CrossingMillis = 4;
 /// Weight of a failure against a slow answer: an upstream that fails half of
@@ -143,7 +146,8 @@
     double millis = loadOf(*found[i], limits, request, now).delayMillis +
                     toMillis(readingTime(toRead));
     if (!subject.empty() && !isCached)
-      millis += ReadAgainMillis;
+      millis += static_cast<double>(shared) * ReadAgainMillisPerToken *
+                (i == 1 ? SecondReaderShare : 1);
     for (const std::string &dataCentre : request.inputDataCentres)
       if (dataCentre != found[i]->entry.dataCentre)
         millis += CrossingMillis;
--- a/src/auburnspring/decision/serving_decisions_test.cpp
+++ b/src/auburnspring/decision/serving_decisions_test.cpp
@@ -321,3 +321,32 @@
   request.avoid = avoid;
   CHECK(placePlain(plain, request, at(201), &random) == nullptr);
 }
+
+TEST_CASE("placement: many shared tokens wait for their holder, few do not") {
+  std::vector<ServedUpstreamPtr> engines;
+  for (int i = 0; i < 20; ++i) {
+    engines.push_back(std::make_shared<ServedUpstream>());
+    engines.back()->entry = entry("e" + std::to_string(i));
+  }
+  std::mt19937_64 random(1);
+  const EngineLimits limits{12, 400000};
+  const auto choose = [&](std::int64_t shared) {
+    const std::vector<PromptPart> prompt = {{"doc", shared}, {"own", 600}};
+    PlacementRequest request;
+    request.prompt = prompt;
+    request.promptTokens = shared + 600;
+    return placeEngine(engines, limits, request, at(0), &random);
+  };
+  const ServedUpstreamPtr holder = choose(5000);
+  CHECK(choose(200) == holder);
+  // The holder reads a long prompt for 120 ms.
+  holder->prefillTokens = 12000;
+  CHECK(choose(5000) == holder);
+  CHECK(choose(200) != holder);
+  // What it has no place for goes to one other engine, not to any.
+  holder->inFlight = 12;
+  const ServedUpstreamPtr second = choose(5000);
+  CHECK(second != holder);
+  for (int i = 0; i < 20; ++i)
+    CHECK(choose(5000) == second);
+}
