Stops: a host that stops stays listed as leaving; no job is given to two hosts

Jobs without an outcome for 1.5 seconds went to whichever host gathers now, although the one that had them was alive: the work was done twice. A gathering host that was killed was missed only after 750 ms.

Ruled out: messages from unlisted hosts being dropped (they are taken; the answer had no address).

Change: the entry says 'leaving' until the process ends. A leaving host that is listed counts as heard in a large fleet, where few hear its beats. Jobs without an outcome go again to the host that has them, while it is heard. When the connection to a gathering host ends, it is asked at once and has 120 ms. A pool that has fallen to another host is handed over again only for idle jobs. request_done says how many pieces were done.

--- a/include/auburnspring/decision/piece_gatherer.h
+++ b/include/auburnspring/decision/piece_gatherer.h
@@ -74,6 +74,7 @@
 
   /// Takes the jobs that no call works on, to be handed to another host.
   std::vector<PieceJob> takeIdleJobs();
+  bool hasIdleJobs() const;
   /// What this host knows of the pool's upstreams, and the way to learn it from
   /// the host that gathered before.
   std::vector<GatheredUpstream> upstreamStates(TimePoint now) const;
@@ -160,6 +161,7 @@
   Duration spacing(TimePoint now) const;
   std::size_t usableWorkers(TimePoint now) const;
   Worker *pickWorker(TimePoint now);
+  static bool isIdle(const Job &job);
   static bool mayQueue(const Worker &worker, TimePoint now);
   static bool isNear(const Job &job, const Worker &worker);
   bool mayRunAt(const Job &job, const Worker &worker, TimePoint now) const;
--- a/include/auburnspring/decision/stage_plan.h
+++ b/include/auburnspring/decision/stage_plan.h
@@ -51,6 +51,8 @@
   std::vector<std::string> takeHeld();
 
   std::uint32_t pieces(std::uint32_t stage) const;
+  /// Pieces of all stages that are done.
+  std::uint32_t donePieces() const;
   std::uint32_t round(std::uint32_t stage) const {
     return states_[stage].round;
   }
--- a/include/auburnspring/peer/peer_mesh.h
+++ b/include/auburnspring/peer/peer_mesh.h
@@ -34,6 +34,9 @@
     /// False if a new life of a host may bear a lower incarnation than the one
     /// before, since its wall clock may have been set back.
     bool incarnationsGrow = true;
+    /// Told on the mesh's own thread when a connection to a host can't be
+    /// opened, or ends without having been closed here.
+    std::function<void(const std::string &host)> onLost;
   };
 
   struct Counters {
--- a/include/auburnspring/serving/peer_network.h
+++ b/include/auburnspring/serving/peer_network.h
@@ -30,7 +30,11 @@
   using Receive =
       std::function<void(const std::string &from, PeerMessage message)>;
 
-  PeerNetwork(asio::io_context &io, Options options, Receive receive);
+  /// The connection to a host has ended, perhaps with the host.
+  using Lost = std::function<void(const std::string &host)>;
+
+  PeerNetwork(asio::io_context &io, Options options, Receive receive,
+              Lost lost);
 
   absl::Status start();
   void stop();
@@ -82,6 +86,7 @@
   asio::io_context &io_;
   Options options_;
   Receive receive_;
+  Lost lost_;
   PeerMesh mesh_;
   std::map<std::string, Peer> peers_;
   bool selfLeaving_ = false;
--- a/include/auburnspring/serving/piece_desk.h
+++ b/include/auburnspring/serving/piece_desk.h
@@ -52,6 +52,10 @@
   void onRelease(const PieceRelease &message);
   void onOutcomes(PieceOutcomes message);
 
+  /// The connection to a host has ended. If it gathers for jobs of this host it
+  /// is asked at once whether it is alive.
+  void onPeerLost(const std::string &host);
+
   /// This host leaves: what no call works on goes to the next host.
   void handOver();
 
@@ -66,6 +70,12 @@
 private:
   using JobKey = std::pair<std::string, std::uint32_t>;
 
+  /// The last question to a gathering host whether it is alive.
+  struct Question {
+    TimePoint askedAt;
+    Duration answerWithin{0};
+  };
+
   struct Outstanding {
     PieceJob job;
     std::string gatherer;
@@ -106,7 +116,7 @@
   /// Hands over the pools that have come to fall to another host. Two that
   /// gather at once fill the upstreams' own queues.
   void handOverTaken(TimePoint now);
-  void hand(Outstanding *entry, TimePoint now);
+  void hand(Outstanding *entry, const std::string &gatherer, TimePoint now);
   void deliver(PieceOutcome outcome);
   Gathering &gathering(const std::string &pool);
   void pump(const std::string &pool);
@@ -126,7 +136,7 @@
   std::map<std::string, std::unique_ptr<Gathering>> gatherings_;
   std::unordered_map<std::uint64_t, BatchCall> batches_;
   std::uint64_t nextBatch_ = 1;
-  std::map<std::string, TimePoint> pingedAt_;
+  std::map<std::string, Question> questions_;
   /// Results to free by where they lie.
   std::map<std::string, std::vector<std::string>> toFree_;
   asio::steady_timer freeTimer_;
--- a/include/auburnspring/serving/serving_host.h
+++ b/include/auburnspring/serving/serving_host.h
@@ -88,6 +88,7 @@
   bool removalsAreCertain_ = false;
   bool stopping_ = false;
   bool idleClosed_ = false;
+  bool withdrawn_ = false;
   TimePoint stoppingSince_;
 };
 
--- a/include/auburnspring/serving/store_follower.h
+++ b/include/auburnspring/serving/store_follower.h
@@ -21,8 +21,10 @@
 public:
   struct Options {
     std::string hostKey;
-    /// What the host's entry says to its peers.
+    /// What the host's entry says to its peers, and what it says while the
+    /// host stops.
     std::string hostValue;
+    std::string leavingValue;
     std::uint64_t seed = 0;
   };
 
@@ -36,8 +38,11 @@
                 Events events);
 
   void start();
-  /// Takes this host's entry back, so that peers stop counting on it.
+  /// Tells peers by the entry that they must not count on this host. Those that
+  /// start from now on still learn where it is, since it may owe and be owed.
   void leave();
+  /// Takes the entry back.
+  void withdraw();
 
   /// Brings changes of a peer in.
   void applyFromPeer(bool isWhole, std::int64_t revision,
@@ -59,7 +64,7 @@
   void watch();
   void scheduleRead(Duration after);
   void renew();
-  void removeEntry();
+  void writeEntry();
   void registerHost();
   void scheduleRenewal(Duration after);
   void setReachable(bool reachable, std::string_view why);
--- a/src/auburnspring/decision/piece_gatherer.cpp
+++ b/src/auburnspring/decision/piece_gatherer.cpp
@@ -553,10 +553,19 @@
     }
 }
 
+bool PieceGatherer::isIdle(const Job &job) {
+  return job.waiting.size() == job.job.pieces;
+}
+
+bool PieceGatherer::hasIdleJobs() const {
+  return std::any_of(jobs_.begin(), jobs_.end(),
+                     [](const auto &entry) { return isIdle(entry.second); });
+}
+
 std::vector<PieceJob> PieceGatherer::takeIdleJobs() {
   std::vector<PieceJob> idle;
   for (auto it = jobs_.begin(); it != jobs_.end();) {
-    if (it->second.waiting.size() != it->second.job.pieces) {
+    if (!isIdle(it->second)) {
       ++it;
       continue;
     }
--- a/src/auburnspring/decision/stage_plan.cpp
+++ b/src/auburnspring/decision/stage_plan.cpp
@@ -151,6 +151,13 @@
   return states_[stage].pieces;
 }
 
+std::uint32_t StagePlan::donePieces() const {
+  std::uint32_t pieces = 0;
+  for (const State &state : states_)
+    pieces += state.done ? state.pieces : 0;
+  return pieces;
+}
+
 std::uint32_t StagePlan::chainFrom(std::uint32_t stage) const {
   std::uint32_t longest = 0;
   for (std::uint32_t i = 0; i < stages_.size(); ++i)
--- a/src/auburnspring/peer/peer_mesh.cpp
+++ b/src/auburnspring/peer/peer_mesh.cpp
@@ -233,8 +233,11 @@
 void PeerMesh::Impl::onEnd(const std::string &host,
                            const WsClient::connection_ptr &connection) {
   const auto found = links_.find(host);
-  if (found != links_.end() && found->second.connection == connection)
+  if (found != links_.end() && found->second.connection == connection) {
     links_.erase(found);
+    if (options_.onLost)
+      options_.onLost(host);
+  }
   // Posted, since the handler that runs now holds the connection.
   io_.post([connection] {
     connection->set_open_handler(nullptr);
--- a/src/auburnspring/serving/caller_run.cpp
+++ b/src/auburnspring/serving/caller_run.cpp
@@ -183,6 +183,7 @@
        {"stages_ms", stagesDoneAt_ == TimePoint()
                          ? 0.0
                          : toMillis(stagesDoneAt_ - exchange_->receivedAt)},
+       {"pieces_done", plan_.donePieces()},
        {"left_ms", toMillis(deadline_ - now)},
        {"configuration", table_ ? static_cast<long>(table_->version) : 0},
        {"upstreams_at",
--- a/src/auburnspring/serving/peer_network.cpp
+++ b/src/auburnspring/serving/peer_network.cpp
@@ -32,14 +32,14 @@
 /// it serves itself leaves it more than twice to spare.
 constexpr double CapacityExponent = 3;
 
-PeerMesh::Options meshOptions(const std::string &host, const Endpoint &listen,
-                              const std::string &key,
-                              std::uint64_t incarnation) {
+PeerMesh::Options meshOptions(const PeerNetwork::Options &network,
+                              PeerNetwork::Lost onLost) {
   PeerMesh::Options options;
-  options.host = host;
-  options.incarnation = incarnation;
-  options.listen = listen;
-  options.peerKey = key;
+  options.host = network.host;
+  options.incarnation = network.incarnation;
+  options.listen = network.listen;
+  options.peerKey = network.peerKey;
+  options.onLost = std::move(onLost);
   options.maxConnectionAge = ConnectionAge;
   options.maxConnections = MaxPeerConnections;
   options.unacknowledgedLimit = UnacknowledgedLimit;
@@ -49,10 +49,14 @@
 
 } // namespace
 
-PeerNetwork::PeerNetwork(asio::io_context &io, Options options, Receive receive)
+PeerNetwork::PeerNetwork(asio::io_context &io, Options options, Receive receive,
+                         Lost lost)
     : io_(io), options_(std::move(options)), receive_(std::move(receive)),
-      mesh_(meshOptions(options_.host, options_.listen, options_.peerKey,
-                        options_.incarnation),
+      lost_(std::move(lost)),
+      mesh_(meshOptions(options_,
+                        [this](const std::string &host) {
+                          asio::post(io_, [this, host] { lost_(host); });
+                        }),
             [this](const std::string &from, PeerMessage message) {
               asio::post(io_, [this, from, message = std::move(message)]() {
                 onMessage(from, message);
@@ -135,9 +139,12 @@
   const auto found = peers_.find(host);
   if (found == peers_.end() || now < found->second.suspectUntil)
     return false;
-  return isAlive(found->second, now) ||
-         (found->second.isLeaving &&
-          now < found->second.heardAt + SilenceLimit);
+  const Peer &peer = found->second;
+  if (isAlive(peer, now))
+    return true;
+  // In a large fleet few hosts hear its beats; there its entry stands for it.
+  const bool isListed = peers_.size() >= SmallFleet && peer.isListed;
+  return peer.isLeaving && (isListed || now < peer.heardAt + SilenceLimit);
 }
 
 std::vector<std::string> PeerNetwork::alive(TimePoint now) const {
--- a/src/auburnspring/serving/piece_desk.cpp
+++ b/src/auburnspring/serving/piece_desk.cpp
@@ -19,6 +19,9 @@
 /// and passed over when it does not answer the question either.
 constexpr Duration AskAfter = std::chrono::milliseconds(250);
 constexpr Duration AnswerWithin = std::chrono::milliseconds(500);
+/// The same if its connection has ended: a process that lives answers on a new
+/// one within a few round trips.
+constexpr Duration AnswerSoon = std::chrono::milliseconds(120);
 /// A job without an outcome is handed over again, in case a message was lost.
 constexpr Duration HandAgainAfter = std::chrono::milliseconds(1500);
 constexpr std::size_t MaxAnswerBytes = 4 << 20;
@@ -39,11 +42,13 @@
   const JobKey key{job.requestId, job.stage};
   Outstanding &entry = outstanding_[key];
   entry = {std::move(job), "", TimePoint(), std::move(done)};
-  hand(&entry, steadyNow());
+  const TimePoint now = steadyNow();
+  hand(&entry, peers_->preferred(entry.job.pool, now), now);
 }
 
-void PieceDesk::hand(Outstanding *entry, TimePoint now) {
-  entry->gatherer = peers_->preferred(entry->job.pool, now);
+void PieceDesk::hand(Outstanding *entry, const std::string &gatherer,
+                     TimePoint now) {
+  entry->gatherer = gatherer;
   entry->sentAt = now;
   if (entry->gatherer == peers_->self()) {
     const std::string pool = entry->job.pool;
@@ -113,11 +118,12 @@
   for (auto &entry : gatherings_) {
     Gathering *here = entry.second.get();
     const std::string next = peers_->preferred(entry.first, now);
-    if (next == peers_->self() || here->gatherer.jobCount() == 0) {
+    if (next == peers_->self()) {
       here->takenSince.reset();
     } else if (!here->takenSince) {
       here->takenSince = now;
-    } else if (now >= *here->takenSince + HandOverAfter) {
+    } else if (now >= *here->takenSince + HandOverAfter &&
+               here->gatherer.hasIdleJobs()) {
       here->takenSince = now;
       handOver(here, next, now);
     }
@@ -385,16 +391,27 @@
       continue;
     const TimePoint heard = std::max(
         peers_->lastHeard(host).value_or(TimePoint()), entry.second.sentAt);
-    TimePoint &asked = pingedAt_[host];
-    if (heard > asked && now > heard + AskAfter) {
-      asked = now;
+    Question &question = questions_[host];
+    if (heard > question.askedAt && now > heard + AskAfter) {
+      question = {now, AnswerWithin};
       peers_->send(host, GathererPing{false});
-    } else if (asked > heard && now > asked + AnswerWithin) {
+    } else if (question.askedAt > heard &&
+               now > question.askedAt + question.answerWithin) {
       peers_->suspect(host, now);
     }
   }
 }
 
+void PieceDesk::onPeerLost(const std::string &host) {
+  const bool owesJobs = std::any_of(
+      outstanding_.begin(), outstanding_.end(),
+      [&](const auto &entry) { return entry.second.gatherer == host; });
+  if (!owesJobs)
+    return;
+  questions_[host] = {steadyNow(), AnswerSoon};
+  peers_->send(host, GathererPing{false});
+}
+
 void PieceDesk::tick(TimePoint now) {
   pingSilentGatherers(now);
   handOverTaken(now);
@@ -409,7 +426,13 @@
     if (found == outstanding_.end())
       continue;
     ++counters_.resubmitted;
-    hand(&found->second, now);
+    // While its host lives another one would do the work a second time.
+    Outstanding &entry = found->second;
+    hand(&entry,
+         peers_->isHeard(entry.gatherer, now)
+             ? entry.gatherer
+             : peers_->preferred(entry.job.pool, now),
+         now);
   }
 }
 
--- a/src/auburnspring/serving/serving_host.cpp
+++ b/src/auburnspring/serving/serving_host.cpp
@@ -40,9 +40,13 @@
   return (static_cast<std::uint64_t>(device()) << 32U) | device();
 }
 
-std::string hostEntry(const ServingSettings &settings) {
-  return fmt::format("{} {} {}", toString(settings.peers), settings.dataCentre,
-                     settings.processorShare);
+/// Fourth word of a host's entry while it stops.
+constexpr const char *LeavingWord = "leaving";
+
+std::string hostEntry(const ServingSettings &settings, bool isLeaving) {
+  return fmt::format("{} {} {}{}{}", toString(settings.peers),
+                     settings.dataCentre, settings.processorShare,
+                     isLeaving ? " " : "", isLeaving ? LeavingWord : "");
 }
 
 } // namespace
@@ -50,12 +54,14 @@
 ServingHost::ServingHost(asio::io_context &io, ServingSettings settings,
                          const Dialect *dialect, MetadataStore *store)
     : io_(io), settings_(std::move(settings)), dialect_(dialect),
-      peers_(io,
-             {settings_.host, settings_.peers, settings_.peerKey, randomSeed(),
-              settings_.processorShare},
-             [this](const std::string &from, const PeerMessage &message) {
-               onPeerMessage(from, message);
-             }),
+      peers_(
+          io,
+          {settings_.host, settings_.peers, settings_.peerKey, randomSeed(),
+           settings_.processorShare},
+          [this](const std::string &from, const PeerMessage &message) {
+            onPeerMessage(from, message);
+          },
+          [this](const std::string &host) { pieces_.onPeerLost(host); }),
       pieces_(io, dialect, &peers_, &context_.registry,
               [this](const std::string &pool) -> const BatchLimits * {
                 const ServedPool *found =
@@ -64,7 +70,8 @@
                                                           : nullptr;
               }),
       follower_(io, store,
-                {dialect->hostPrefix() + settings_.host, hostEntry(settings_),
+                {dialect->hostPrefix() + settings_.host,
+                 hostEntry(settings_, false), hostEntry(settings_, true),
                  randomSeed()},
                 {[this](const std::vector<StoreChange> &changes) {
                    onStoreChanges(changes);
@@ -219,8 +226,14 @@
   double share = 1;
   if (fields.size() > 2 && (!absl::SimpleAtod(fields[2], &share) || share <= 0))
     share = 1;
+  const bool isLeaving = fields.size() > 3 && fields[3] == LeavingWord;
   peers_.setListed(host, *endpoint, share, now);
-  duty_.setHost(host, {fields.size() > 1 ? fields[1] : "", share});
+  if (host != peers_.self())
+    peers_.setLeaving(host, isLeaving);
+  if (isLeaving)
+    duty_.removeHost(host);
+  else
+    duty_.setHost(host, {fields.size() > 1 ? fields[1] : "", share});
 }
 
 void ServingHost::onStoreReachable(bool reachable, std::string_view) {
@@ -443,6 +456,11 @@
       idleClosed_ && runs_.empty() && callers_.connectionCount() == 0;
   if (!isIdle && since < settings_.stopTimeout - StopMargin)
     return;
+  // The entry is gone before the process is, if the store answers in time.
+  if (!withdrawn_) {
+    withdrawn_ = true;
+    return follower_.withdraw();
+  }
   logEvent(LogLevel::Info, "stopped",
            {{"clean", runs_.empty()},
             {"requests", static_cast<unsigned long>(runs_.size())}});
--- a/src/auburnspring/serving/store_follower.cpp
+++ b/src/auburnspring/serving/store_follower.cpp
@@ -152,32 +152,36 @@
 void StoreFollower::registerHost() {
   ++calls_;
   store_->createLease(LeaseLife, [this](absl::StatusOr<std::int64_t> lease) {
-    if (leaving_)
-      return;
     if (!lease.ok()) {
       setReachable(false, std::string(lease.status().message()));
       return scheduleRenewal(jittered(RenewInterval));
     }
     setReachable(true, "lease");
     lease_ = *lease;
-    ++calls_;
-    store_->put(options_.hostKey, options_.hostValue, lease_,
-                [this](const absl::StatusOr<std::int64_t> &written) {
-                  registered_ = written.ok();
-                  if (!written.ok())
-                    lease_ = 0;
-                  // The host may have begun to stop meanwhile.
-                  if (leaving_)
-                    return removeEntry();
-                  scheduleRenewal(jittered(RenewInterval));
-                });
+    writeEntry();
   });
 }
 
+void StoreFollower::writeEntry() {
+  ++calls_;
+  store_->put(
+      options_.hostKey, leaving_ ? options_.leavingValue : options_.hostValue,
+      lease_,
+      [this, leaving = leaving_](const absl::StatusOr<std::int64_t> &written) {
+        registered_ = written.ok();
+        if (!written.ok())
+          lease_ = 0;
+        // The host may have begun to stop meanwhile.
+        else if (leaving != leaving_)
+          return writeEntry();
+        scheduleRenewal(jittered(RenewInterval));
+      });
+}
+
 void StoreFollower::scheduleRenewal(Duration after) {
   renewTimer_.expires_after(after);
   renewTimer_.async_wait([this](asio::error_code error) {
-    if (error || leaving_)
+    if (error)
       return;
     lease_ == 0 ? registerHost() : renew();
   });
@@ -202,12 +206,15 @@
 
 void StoreFollower::leave() {
   leaving_ = true;
-  renewTimer_.cancel();
+  // Otherwise the entry is written when its lease is there.
   if (registered_)
-    removeEntry();
+    writeEntry();
 }
 
-void StoreFollower::removeEntry() {
+void StoreFollower::withdraw() {
+  renewTimer_.cancel();
+  if (!registered_)
+    return;
   ++calls_;
   store_->remove(
       options_.hostKey, [](const absl::StatusOr<std::int64_t> &result) {
