Gathering: room for results is freed sooner

Room for results bounds the pools: 101 results an upstream, each held from its call's turn until it is freed.

Ruled out: nearness (none there), splitting of jobs, slots.

Change: inputs are freed 60 ms after their last piece was sent (100 before) and calls that free go out every 15 ms (30 before). Where a call may have to wait, inputs stay until its answer, as before. Test: the times in 'inputs are freed once fetched' follow the constant, tighter.

--- a/include/auburnspring/decision/piece_gatherer.h
+++ b/include/auburnspring/decision/piece_gatherer.h
@@ -95,9 +95,6 @@
   Duration backlog(TimePoint now) const;
 
   std::size_t waitingPieces() const { return waitingPieces_; }
-  std::size_t jobCount() const { return jobs_.size(); }
-  std::uint64_t batchesSent() const { return nextBatch_ - 1; }
-  std::uint64_t piecesSent() const { return piecesSent_; }
   const std::string &pool() const { return pool_; }
 
 private:
@@ -195,7 +192,6 @@
   std::vector<PieceOutcome> outcomes_;
   std::vector<std::string> orphans_;
   std::uint64_t nextBatch_ = 1;
-  std::uint64_t piecesSent_ = 0;
   double typicalBatch_ = 1;
   std::size_t waitingPieces_ = 0;
   TimePoint housekeptAt_;
--- a/include/auburnspring/decision/stage_plan.h
+++ b/include/auburnspring/decision/stage_plan.h
@@ -57,7 +57,6 @@
     return states_[stage].round;
   }
   const std::vector<PieceStage> &stages() const { return stages_; }
-  bool isBegun(std::uint32_t stage) const { return states_[stage].begun; }
   bool isStageDone(std::uint32_t stage) const { return states_[stage].done; }
 
   /// Longest chain of stages from this one to the end, this one included.
--- a/include/auburnspring/http/message_reader.h
+++ b/include/auburnspring/http/message_reader.h
@@ -52,7 +52,6 @@
   bool isHeadTooLarge() const;
 
   RequestHead takeRequest();
-  ResponseHead takeResponse();
   int status() const;
   const HeaderList &headers() const;
 
--- a/soak/soak_site.cpp
+++ b/soak/soak_site.cpp
@@ -2,6 +2,7 @@
 
 #include "auburnspring/base/clock.h"
 #include "platform/names.h"
+#include "platform/testing/free_ports.h"
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
@@ -28,32 +29,6 @@
 constexpr Duration LingerTime = std::chrono::milliseconds(3500);
 constexpr std::int64_t WorkerBorn = 1700000000000;
 
-/// Below the range from which the system takes ports for connections, which
-/// could otherwise take a port while its process is being restarted.
-constexpr std::uint16_t FirstPort = 12000;
-constexpr std::uint16_t LastPort = 32000;
-
-/// Ports that were free a moment ago. Runs side by side look from different
-/// places on.
-std::vector<std::uint16_t> freePorts(asio::io_context &io, std::size_t count) {
-  using asio::ip::tcp;
-  std::mt19937_64 random(std::random_device{}());
-  std::uniform_int_distribution<int> any(FirstPort, LastPort);
-  std::vector<std::unique_ptr<tcp::acceptor>> held;
-  std::vector<std::uint16_t> ports;
-  while (ports.size() < count) {
-    const auto port = static_cast<std::uint16_t>(any(random));
-    auto acceptor = std::make_unique<tcp::acceptor>(io, tcp::v4());
-    asio::error_code error;
-    acceptor->bind({asio::ip::make_address("127.0.0.1"), port}, error);
-    if (error)
-      continue;
-    held.push_back(std::move(acceptor));
-    ports.push_back(port);
-  }
-  return ports;
-}
-
 json route(const char *name, const char *prefix, const char *kind,
            const char *service, bool isResumable) {
   return {{"Name", name},
@@ -75,7 +50,7 @@
       tickTimer_(io) {
   constexpr std::size_t PortsPerHost = 4;
   const std::vector<std::uint16_t> ports =
-      freePorts(io, options_.hosts * PortsPerHost);
+      platform::freePorts(io, options_.hosts * PortsPerHost);
   for (std::size_t i = 0; i < options_.hosts; ++i) {
     auto host = std::make_unique<SoakHost>();
     host->name = fmt::format("entry-{}", i + 1);
--- a/src/auburnspring/decision/piece_gatherer.cpp
+++ b/src/auburnspring/decision/piece_gatherer.cpp
@@ -22,9 +22,9 @@
 constexpr Duration PauseWhenFull = std::chrono::milliseconds(60);
 constexpr Duration PauseWhenBroken = std::chrono::milliseconds(700);
 /// An upstream fetches a call's inputs at the start of its turn, which is when
-/// the call arrives. A link of these carries a full batch's inputs in a tenth
+/// the call arrives. A link of these carries a full batch's inputs in a quarter
 /// of this time.
-constexpr Duration FetchTime = std::chrono::milliseconds(100);
+constexpr Duration FetchTime = std::chrono::milliseconds(60);
 /// A call that takes this many times its usual duration, and a little, has
 /// waited at its upstream for one that another host sent.
 constexpr double DelayFactor = 1.2;
@@ -317,7 +317,6 @@
   call.expected = expectedCall(batch.items.size());
   ++worker->calls;
   worker->lastCallAt = now;
-  piecesSent_ += batch.items.size();
   typicalBatch_ +=
       (static_cast<double>(batch.items.size()) - typicalBatch_) * NewestWeight;
   calls_[batch.number] = std::move(call);
--- a/src/auburnspring/decision/piece_gatherer_test.cpp
+++ b/src/auburnspring/decision/piece_gatherer_test.cpp
@@ -331,8 +331,8 @@
   PieceGatherer pool = knownGatherer(2);
   pool.submit(chainedJob("r", 2), at(1000));
   const auto batches = pool.dispatch(at(1000));
-  CHECK(pool.takeFetchedInputs(at(1050)).empty());
-  CHECK(pool.takeFetchedInputs(at(1100)) ==
+  CHECK(pool.takeFetchedInputs(at(1040)).empty());
+  CHECK(pool.takeFetchedInputs(at(1060)) ==
         std::vector<std::string>{"r.x", "r.y"});
   CHECK(pool.takeFetchedInputs(at(1200)).empty());
   // A slow call's pieces can't go elsewhere any more.
--- a/src/auburnspring/http/message_reader.cpp
+++ b/src/auburnspring/http/message_reader.cpp
@@ -204,9 +204,4 @@
           std::move(impl_->target), std::move(impl_->headers)};
 }
 
-ResponseHead MessageReader::takeResponse() {
-  return {static_cast<int>(impl_->parser.status_code),
-          std::move(impl_->headers)};
-}
-
 } // namespace auburnspring::http
--- a/src/auburnspring/serving/piece_desk.cpp
+++ b/src/auburnspring/serving/piece_desk.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 /// Results are freed together, so that one call serves many.
-constexpr Duration FreeInterval = std::chrono::milliseconds(30);
+constexpr Duration FreeInterval = std::chrono::milliseconds(15);
 constexpr Duration FreeTimeout = std::chrono::milliseconds(1000);
 /// A batch whose upstream is silent for so many times its expected duration is
 /// given up; its pieces went elsewhere long before.
