--- a/soak/child_process.cpp
+++ b/soak/child_process.cpp
@@ -24,6 +24,7 @@
 bool ChildProcess::start(const std::vector<std::string> &command,
                          const std::string &outputFile) {
   std::vector<char *> words;
+  words.reserve(command.size() + 1);
   for (const std::string &word : command)
     words.push_back(const_cast<char *>(word.c_str()));
   words.push_back(nullptr);
--- a/soak/soak_site.cpp
+++ b/soak/soak_site.cpp
@@ -27,7 +27,6 @@
 constexpr Duration RestartAfter = std::chrono::milliseconds(600);
 /// A worker that leaves serves on for so long.
 constexpr Duration LingerTime = std::chrono::milliseconds(3500);
-constexpr std::int64_t WorkerBorn = 1700000000000;
 
 json route(const char *name, const char *prefix, const char *kind,
            const char *service, bool isResumable) {
