--- a/include/auburnspring/serving/piece_desk.h
+++ b/include/auburnspring/serving/piece_desk.h
@@ -89,7 +89,7 @@
     PieceGatherer gatherer;
     asio::steady_timer timer;
     std::uint64_t upstreamsAt = 0;
-    /// Since when the pool falls to another host while there are jobs here.
+    /// Since when the pool falls to another host.
     std::optional<TimePoint> takenSince;
   };
 
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -13,6 +13,7 @@
 #include <cstdlib>
 #include <filesystem>
 #include <string>
+#include <unistd.h>
 
 namespace {
 
