Read-over: one name for an upstream's life, the field's word in the soak

setUpstreams() spelled the key of a life out beside lifeOf(), which made the same one; it now calls it. The soak said 'disturbance' in three comments and one message where the field says disruption. Behaviour is as it was. Left: option parsing that the daemon, platformd and the soak share by copy; it is old for the first two and wants a piece of its own.

--- a/soak/calm_record.h
+++ b/soak/calm_record.h
@@ -14,7 +14,7 @@
 class CalmRecord {
 public:
   void disturb(const std::string &subject, TimePoint at);
-  /// The disturbance that began last is over.
+  /// The disruption that began last is over.
   void settle(const std::string &subject, TimePoint at);
 
   /// True if the subject was undisturbed all through the span.
--- a/soak/promise_book.cpp
+++ b/soak/promise_book.cpp
@@ -14,7 +14,7 @@
 /// that reach it, break the promise.
 constexpr std::size_t HeldAllowed = 8;
 constexpr double HeldShareAllowed = 0.25;
-/// Least share that must be served once all disturbance is over.
+/// Least share that must be served once all disruption is over.
 constexpr double RecoveredShare = 0.25;
 
 bool isNotRunStatus(int status) {
@@ -231,7 +231,7 @@
   calmShare_ =
       sent == 0 ? 0 : static_cast<double>(served) / static_cast<double>(sent);
   if (calmShare_ < RecoveredShare)
-    breach("RECOVER", fmt::format("{} of {} served after the last disturbance",
+    breach("RECOVER", fmt::format("{} of {} served after the last disruption",
                                   served, sent));
 }
 
--- a/soak/promise_book.h
+++ b/soak/promise_book.h
@@ -82,7 +82,7 @@
   void breach(const std::string &promise, const std::string &what);
 
   /// Checks what can be told only at the end. Requests sent after `calmFrom`
-  /// met no disturbance.
+  /// met no disruption.
   void close(TimePoint calmFrom);
 
   const std::vector<std::string> &breaches() const { return breaches_; }
--- a/src/auburnspring/decision/piece_gatherer.cpp
+++ b/src/auburnspring/decision/piece_gatherer.cpp
@@ -77,8 +77,7 @@
   std::map<std::string, Worker> next;
   for (ServedUpstreamPtr &upstream : upstreams) {
     // A new life under an old id holds nothing of before.
-    const std::string key =
-        upstream->entry.id + "/" + std::to_string(upstream->entry.bornMillis);
+    const std::string key = lifeOf(*upstream);
     const auto known = workers_.find(key);
     Worker &worker = next[key];
     if (known != workers_.end())
