--- a/include/auburnspring/decision/peer_message.h
+++ b/include/auburnspring/decision/peer_message.h
@@ -6,6 +6,7 @@
 #include "auburnspring/decision/batch_upstream_state.h"
 #include "auburnspring/decision/stage_job.h"
 #include "auburnspring/decision/store_item.h"
+#include "auburnspring/decision/store_version.h"
 
 #include <cstdint>
 #include <string>
@@ -102,15 +103,32 @@
   std::int64_t reservedTokens = 0;
 };
 
+/// What an upstream has stated in its own responses to the sender.
+struct UpstreamNotice {
+  std::string upstream;
+  /// Start time of the incarnation (wall clock, ms).
+  std::int64_t startedAtMillis = 0;
+  /// It is leaving and takes no new work.
+  bool isLeaving = false;
+  /// Time for which it refuses requests of the sender; 0 if it does not.
+  Duration refusesFor{0};
+};
+
 /// State of a serving host, sent to its peers several times per second.
 struct HostHeartbeat {
-  /// Revision up to which the sender's replica of the store is complete.
-  std::int64_t storeRevision = 0;
+  /// State of the store up to which the sender's replica is complete.
+  StoreVersion storeVersion;
+  /// Time since the store or a peer last confirmed that this is the store's
+  /// current state.
+  Duration storeVersionAge{0};
   /// False while the sender is not connected to the store.
   bool storeReachable = false;
   /// The sender is about to stop and accepts no new jobs.
   bool isLeaving = false;
+  /// Version of the operator's configuration in force; 0 if there is none.
+  std::int64_t configurationVersion = 0;
   std::vector<UpstreamLoad> loads;
+  std::vector<UpstreamNotice> notices;
 };
 
 /// Submits jobs to the batching host of their pools. Times are sent as time
@@ -149,32 +167,43 @@
   bool isReply = false;
 };
 
-/// Revision of the replica of a host that watches the store, sent to the other
+/// State of the replica of a host that watches the store, sent to the other
 /// hosts of its data centre several times per second and at each change.
-struct StoreRevisionUpdate {
-  std::int64_t revision = 0;
+struct StoreVersionUpdate {
+  StoreVersion version;
+  /// As in HostHeartbeat.
+  Duration age{0};
 };
 
 /// Requests the changes that the sender's replica of the store lacks.
 struct ReplicaRequest {
-  std::int64_t revision = 0;
+  StoreVersion version;
 };
 
 struct ReplicaReply {
-  /// True for all items at `revision`, false for the changes up to it.
+  /// True for all items at `version`, false for the changes up to it.
   bool isSnapshot = false;
-  /// The sender has been connected to the store for long enough that a missing
-  /// item was removed and has not merely expired.
+  /// As in StoreUpdate.
   bool removalsAreConfirmed = false;
-  std::int64_t revision = 0;
+  StoreVersion version;
   std::vector<StoreChange> changes;
 };
 
+/// Requests the operator's configuration in force at the receiver. A store that
+/// was restored from a copy may hold an older one.
+struct OperatorConfigurationRequest {};
+
+struct OperatorConfigurationReply {
+  /// The configuration as the operator wrote it.
+  std::string value;
+};
+
 using PeerMessage =
     std::variant<Ping, Ack, BundleRequest, BundleReply, LedgerForward,
                  LedgerForwardReply, HostHeartbeat, JobSubmit, JobCancel,
                  ResultRelease, JobOutcomes, BatcherProbe, ReplicaRequest,
-                 ReplicaReply, StoreRevisionUpdate>;
+                 ReplicaReply, StoreVersionUpdate, OperatorConfigurationRequest,
+                 OperatorConfigurationReply>;
 
 } // namespace auburnspring
 
--- a/include/auburnspring/decision/piece_batcher.h
+++ b/include/auburnspring/decision/piece_batcher.h
@@ -183,6 +183,8 @@
   static std::string incarnationKey(const UpstreamState &upstream);
   void addPieces(JobState *job, std::size_t maxItems, Upstream *upstream,
                  PieceBatch *batch, Call *call, TimePoint now);
+  /// When an upstream takes a call again, if all refuse them; else `now`.
+  TimePoint earliestStart(TimePoint now) const;
   void dropUnattainable(TimePoint now);
   void requeueOverdue(TimePoint now);
   void requeue(const CallItem &item, bool countsAsFailure);
--- a/include/auburnspring/decision/store_item.h
+++ b/include/auburnspring/decision/store_item.h
@@ -3,15 +3,28 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 namespace auburnspring {
 
-/// A write or removal of one item in the platform's store.
+/// A write or removal of one item in the platform's store. The revision belongs
+/// to the era of the read or watch that returned the change.
 struct StoreChange {
   std::string key;
   std::string value;
   std::int64_t revision = 0;
   bool removed = false;
+  /// The store was restored from a copy that has this write; it may have been
+  /// followed by others that the copy lacks.
+  bool isFromCopy = false;
+};
+
+/// Changes that were new to a replica.
+struct StoreUpdate {
+  std::vector<StoreChange> changes;
+  /// The source has been connected to the store for long enough that a missing
+  /// item was removed and has not merely expired.
+  bool removalsAreConfirmed = false;
 };
 
 } // namespace auburnspring
--- a/include/auburnspring/decision/store_replica.h
+++ b/include/auburnspring/decision/store_replica.h
@@ -2,6 +2,7 @@
 #define AUBURNSPRING_DECISION_STORE_REPLICA_H
 
 #include "auburnspring/decision/store_item.h"
+#include "auburnspring/decision/store_version.h"
 
 #include <cstdint>
 #include <deque>
@@ -13,32 +14,37 @@
 
 /// This host's replica of the items that it watches in the platform's store. It
 /// is updated from watches and reads, and from peers while the store can't be
-/// reached. An item never returns to an older revision, in whatever order
-/// changes arrive.
+/// reached. Within an era an item never returns to an older revision, in
+/// whatever order changes arrive; what an older era returns is ignored.
 class StoreReplica {
 public:
   /// Changes that are kept so that peers can catch up.
   static constexpr std::size_t MaxJournalSize = 4000;
+  /// Writes of an item that are remembered, to recognize them in a copy.
+  static constexpr std::size_t MaxItemWrites = 16;
 
-  /// Applies changes up to `revision`; returns those that were new.
-  std::vector<StoreChange> apply(const std::vector<StoreChange> &changes,
-                                 std::int64_t revision);
+  /// Applies changes up to `version`; returns those that were new. Changes of
+  /// another era are ignored: a new era starts with replace().
+  StoreUpdate apply(const std::vector<StoreChange> &changes,
+                    const StoreVersion &version);
 
-  /// Replaces the content by a full read at `revision`. Items that are missing
-  /// from it are removed, unless they are newer than the read.
-  std::vector<StoreChange> replace(const std::vector<StoreChange> &items,
-                                   std::int64_t revision);
+  /// Replaces the content by a full read at `version`. Items that are missing
+  /// from it are removed, unless they are newer than the read. A read of a
+  /// newer era replaces every item.
+  StoreUpdate replace(const std::vector<StoreChange> &items,
+                      const StoreVersion &version);
 
-  /// Appends all changes after `revision` to `out`; false if the journal does
+  /// Appends all changes after `version` to `out`; false if the journal does
   /// not reach back that far.
-  bool changesAfter(std::int64_t revision, std::vector<StoreChange> *out) const;
+  bool changesAfter(const StoreVersion &version,
+                    std::vector<StoreChange> *out) const;
 
   /// All existing items, without tombstones.
   std::vector<StoreChange> snapshot() const;
 
-  /// Store revision up to which the replica is complete; 0 before the first
-  /// read.
-  std::int64_t revision() const { return revision_; }
+  /// State of the store up to which the replica is complete; revision 0 before
+  /// the first read.
+  const StoreVersion &version() const { return version_; }
   std::size_t size() const { return items_.size(); }
 
 private:
@@ -47,16 +53,31 @@
     std::string value;
     /// A tombstone, kept so that an older write can't restore the item.
     bool removed = false;
+    /// Revisions of the latest writes of the item, oldest first.
+    std::vector<std::int64_t> writes;
+
+    void set(const StoreChange &change);
+    bool hasWrite(std::int64_t revision) const;
   };
+  using Items = std::map<std::string, Item>;
 
+  /// True if the item is known to have been removed since: the replica is
+  /// complete up to a later revision and has neither the item nor a tombstone.
+  bool isOutdated(const StoreChange &change) const;
   bool applyChange(const StoreChange &change);
+  /// Newest revision that the copy the store was restored from has for certain,
+  /// given a read after the restore and the items before it.
+  static std::int64_t copiedRevision(const std::vector<StoreChange> &items,
+                                     const Items &before);
+  StoreUpdate restore(const std::vector<StoreChange> &items,
+                      const StoreVersion &version);
   void pruneTombstones();
 
-  std::map<std::string, Item> items_;
+  Items items_;
   std::deque<StoreChange> journal_;
   /// The journal holds every change after this revision.
   std::int64_t journalFrom_ = 0;
-  std::int64_t revision_ = 0;
+  StoreVersion version_;
 };
 
 } // namespace auburnspring
--- a/include/auburnspring/decision/store_watcher_selector.h
+++ b/include/auburnspring/decision/store_watcher_selector.h
@@ -2,6 +2,7 @@
 #define AUBURNSPRING_DECISION_STORE_WATCHER_SELECTOR_H
 
 #include "auburnspring/base/time.h"
+#include "auburnspring/decision/store_version.h"
 
 #include <cstdint>
 #include <map>
@@ -54,16 +55,20 @@
 
   /// Handles an update from a host that watches and can reach the store.
   void onWatcherUpdate(const std::string &from, TimePoint now);
-  /// Handles a peer's replica revision; `own` is this host's.
-  void onRevision(const std::string &from, std::int64_t revision,
-                  std::int64_t own, TimePoint now);
+  /// Handles the version of a peer's replica; `own` is this host's.
+  void onVersion(const std::string &from, const StoreVersion &version,
+                 const StoreVersion &own, TimePoint now);
 
   /// True if this host has to watch the store itself.
   bool mustWatch(TimePoint now) const;
+  /// Number of hosts that rank above this one among those whose watches this
+  /// host's replica depends on: its data centre's, or all of a small fleet.
+  std::size_t rank() const;
   /// Hosts to which this one sends updates while it watches.
   std::vector<std::string> updateRecipients() const;
   /// The host to fetch missing changes from now, if any.
-  std::optional<std::string> fetchSource(std::int64_t own, TimePoint now);
+  std::optional<std::string> fetchSource(const StoreVersion &own,
+                                         TimePoint now);
 
 private:
   struct Peer {
@@ -78,10 +83,10 @@
   Host host_;
   double score_ = 0;
   std::map<std::string, Peer> peers_;
-  /// Newest revision that a peer has reported, the last peer to report it, and
+  /// Newest version that a peer has reported, the last peer to report it, and
   /// since when this host has been behind.
-  std::int64_t newestRevision_ = 0;
-  std::string newestRevisionHost_;
+  StoreVersion newestVersion_;
+  std::string newestVersionHost_;
   TimePoint behindSince_;
   TimePoint lastFetchAt_;
 };
--- a/include/auburnspring/decision/upstream_registry.h
+++ b/include/auburnspring/decision/upstream_registry.h
@@ -3,6 +3,7 @@
 
 #include "auburnspring/decision/upstream_state.h"
 
+#include <deque>
 #include <map>
 #include <string>
 #include <unordered_map>
@@ -12,17 +13,26 @@
 
 /// The upstreams that the store lists, by pool. While the store is unavailable,
 /// leases expire although the upstreams still run. An entry that is removed
-/// in an outage stays in use until the store has been available for
-/// `ExpiryGrace` and still lacks it.
+/// in an outage, or that the store lacks once it has been restored from a copy,
+/// stays in use until the store has been available for `ExpiryGrace` and still
+/// lacks it. An incarnation that has left does not return with such a copy.
 class UpstreamRegistry {
 public:
   /// Time in which live upstreams register again after a store outage.
   static constexpr Duration ExpiryGrace = std::chrono::milliseconds(2300);
+  /// How long an incarnation that has left is remembered, and how many are. A
+  /// copy of the store is seconds old.
+  static constexpr Duration DepartedRetention = std::chrono::minutes(10);
+  static constexpr std::size_t MaxDeparted = 4096;
 
   enum class Change { None, Joined, Left, Updated, Expired };
+  /// Whether an entry was written just now, or comes from a copy that the store
+  /// was restored from.
+  enum class EntrySource { Written, RestoredCopy };
 
   /// Adds or updates the entry under `key`.
-  Change put(const std::string &key, UpstreamEntry entry);
+  Change put(const std::string &key, UpstreamEntry entry, TimePoint now,
+             EntrySource source = EntrySource::Written);
   /// Handles an entry that is missing from the store or can't be parsed. Set
   /// `isConfirmed` if the source had the store without interruption, so that
   /// the entry can't have expired in an outage.
@@ -35,8 +45,18 @@
 
   void onStoreUnavailable() { storeUnavailable_ = true; }
   void onStoreAvailable(TimePoint now);
+  /// The store was restored from a copy, which may lack live upstreams.
+  void onStoreRestored(TimePoint now) { storeAvailableSince_ = now; }
   bool isStoreUnavailable() const { return storeUnavailable_; }
 
+  /// Handles an upstream's statement in a response that it is leaving; true if
+  /// that is news.
+  bool markLeaving(UpstreamState *upstream);
+
+  /// Time until an upstream of the pool takes requests of this host again; 0 if
+  /// one does now or there is none.
+  Duration refusalTime(const std::string &pool, TimePoint now) const;
+
   /// Drops expired entries whose grace period is over; returns their keys.
   std::vector<std::string> dropExpired(TimePoint now);
 
@@ -52,7 +72,22 @@
   const std::map<std::string, UpstreamStatePtr> &all() const { return byKey_; }
 
 private:
+  struct Departed {
+    std::string key;
+    UpstreamEntry entry;
+    TimePoint at;
+  };
+
+  static bool isSameIncarnation(const UpstreamEntry &a, const UpstreamEntry &b);
+  void recordDeparture(const std::string &key, const UpstreamEntry &entry,
+                       TimePoint now);
+  /// The incarnation has registered again.
+  void forgetDeparture(const std::string &key, const UpstreamEntry &entry);
+  bool hasDeparted(const std::string &key, const UpstreamEntry &entry) const;
+
   std::map<std::string, UpstreamStatePtr> byKey_;
+  /// Incarnations that have left, oldest first.
+  std::deque<Departed> departed_;
   std::map<std::string, TimePoint> expired_;
   bool storeUnavailable_ = false;
   TimePoint storeAvailableSince_;
--- a/include/auburnspring/decision/upstream_state.h
+++ b/include/auburnspring/decision/upstream_state.h
@@ -22,8 +22,18 @@
 /// One incarnation of an upstream with this host's view of its load and health.
 struct UpstreamState {
   UpstreamEntry entry;
-  /// The entry was removed from the store or is marked as leaving.
+  /// The entry was removed from the store or is marked as leaving, or the
+  /// upstream has said so in a response.
   bool isLeaving = false;
+  /// The upstream has stated in a response that it is leaving. It holds for
+  /// this incarnation, whatever its entry says.
+  bool hasAnnouncedLeaving = false;
+  /// The upstream has refused a request of this host and wants no other before
+  /// this time.
+  TimePoint refusesUntil;
+  /// As reported by a peer, to which it has refused a request. A hint: the
+  /// upstream may still take requests of this host.
+  TimePoint refusesPeersUntil;
 
   /// This host's attempts in progress.
   std::int64_t inFlight = 0;
@@ -43,8 +53,12 @@
   /// End of the current ejection; no new work before it.
   TimePoint ejectedUntil;
 
+  /// False if nothing may be sent to it, however few the alternatives are.
+  bool mayBeSentWork(TimePoint now) const {
+    return !isLeaving && now >= refusesUntil;
+  }
   bool acceptsWork(TimePoint now) const {
-    return !isLeaving && now >= ejectedUntil;
+    return mayBeSentWork(now) && now >= ejectedUntil;
   }
 };
 
--- a/include/auburnspring/serving/active_request.h
+++ b/include/auburnspring/serving/active_request.h
@@ -51,6 +51,8 @@
   Duration expectedStageTime(std::uint32_t stage) const;
   Duration expectedTimeAfter(std::uint32_t stage) const;
   Duration retryAfterFor(Duration backlog) const;
+  /// The duration lengthened at random, so that callers do not retry at once.
+  Duration jittered(Duration duration) const;
   double valueDensity(std::uint32_t stage) const;
   std::string preferredDataCentre(std::uint32_t stage);
   void releaseResults(const std::vector<std::string> &results);
--- a/include/auburnspring/serving/attempt.h
+++ b/include/auburnspring/serving/attempt.h
@@ -26,6 +26,8 @@
 class Attempt {
 public:
   struct Events {
+    /// The head of the response has been received.
+    std::function<void()> onHead;
     /// Bytes of the response body; the head is known by then.
     std::function<void(std::string_view)> onBody;
     std::function<void()> onEnd;
--- a/include/auburnspring/serving/dialect.h
+++ b/include/auburnspring/serving/dialect.h
@@ -66,6 +66,11 @@
   bool isEncoded = false;
   /// A stage result that the request needs no longer exists.
   bool areInputsGone = false;
+  /// The upstream states that it is leaving.
+  bool isLeaving = false;
+  /// The upstream wants no further request of this host for this time; 0 if it
+  /// does not say so.
+  Duration refusesFor{0};
 };
 
 /// Translates between internal types and the protocols of callers, upstreams
--- a/include/auburnspring/serving/metadata_store.h
+++ b/include/auburnspring/serving/metadata_store.h
@@ -3,6 +3,7 @@
 
 #include "auburnspring/base/time.h"
 #include "auburnspring/decision/store_item.h"
+#include "auburnspring/decision/store_version.h"
 
 #include <absl/status/statusor.h>
 
@@ -13,10 +14,10 @@
 
 namespace auburnspring {
 
-/// Items or changes, and the store's revision at which they were read.
+/// Items or changes, and the version of the store at which they were read.
 struct StoreRead {
   std::vector<StoreChange> changes;
-  std::int64_t revision = 0;
+  StoreVersion version;
 };
 
 /// Asynchronous client of the platform's store. Callbacks run on the event
@@ -28,8 +29,14 @@
 public:
   template <typename T> using Callback = std::function<void(absl::StatusOr<T>)>;
 
+  /// Called with the era of the store that a response states, before the
+  /// callback of its call.
+  using EraHandler = std::function<void(std::int64_t era)>;
+
   virtual ~MetadataStore() = default;
 
+  virtual void setEraHandler(EraHandler handler) = 0;
+
   /// Reads every item whose key has the prefix.
   virtual void readAll(const std::string &prefix,
                        Callback<StoreRead> callback) = 0;
@@ -37,6 +44,10 @@
   /// list after `timeout`.
   virtual void watch(const std::string &prefix, std::int64_t after,
                      Duration timeout, Callback<StoreRead> callback) = 0;
+  /// Returns the changes after a revision at once, or fails within a few hundred
+  /// milliseconds.
+  virtual void poll(const std::string &prefix, std::int64_t after,
+                    Callback<StoreRead> callback) = 0;
   virtual void createLease(Duration ttl, Callback<std::int64_t> callback) = 0;
   virtual void renewLease(std::int64_t lease, Callback<Duration> callback) = 0;
   /// Writes a key that is removed when the lease expires.
--- a/include/auburnspring/serving/peer_network.h
+++ b/include/auburnspring/serving/peer_network.h
@@ -52,6 +52,7 @@
   /// message, or for a short time if none arrives.
   void suspect(const std::string &host, TimePoint now);
 
+  bool isListed(const std::string &host) const;
   /// Hosts that take new work, including this one unless it is leaving.
   std::vector<std::string> availableHosts(TimePoint now) const;
   bool isAvailable(const std::string &host, TimePoint now) const;
--- a/include/auburnspring/serving/piece_dispatcher.h
+++ b/include/auburnspring/serving/piece_dispatcher.h
@@ -35,7 +35,7 @@
   };
 
   PieceDispatcher(asio::io_context &io, const Dialect *dialect,
-                  PeerNetwork *peers, const UpstreamRegistry *registry,
+                  PeerNetwork *peers, UpstreamRegistry *registry,
                   BatchLimitsLookup limits);
 
   /// Submits a job of a request of this host. `onOutcome` is called once,
@@ -106,7 +106,7 @@
     std::string body;
     bool notRun = false;
     TimePoint startedAt;
-    std::string upstream;
+    UpstreamStatePtr upstream;
     std::unique_ptr<http::ClientCall> call;
     std::unique_ptr<asio::steady_timer> timer;
   };
@@ -137,7 +137,7 @@
   asio::io_context &io_;
   const Dialect *dialect_;
   PeerNetwork *peers_;
-  const UpstreamRegistry *registry_;
+  UpstreamRegistry *registry_;
   BatchLimitsLookup batchLimits_;
   std::map<JobKey, OutstandingJob> outstanding_;
   std::map<std::string, std::unique_ptr<PoolBatcher>> poolBatchers_;
--- a/include/auburnspring/serving/serving_host.h
+++ b/include/auburnspring/serving/serving_host.h
@@ -45,9 +45,10 @@
 
 private:
   // Changes of the store.
-  void onStoreChanges(const std::vector<StoreChange> &changes);
+  void onStoreUpdate(const StoreUpdate &update);
   void onConfiguration(const StoreChange &change);
-  void onUpstream(const StoreChange &change);
+  void applyConfiguration(const std::string &text, std::string_view source);
+  void onUpstream(const StoreChange &change, bool isRemovalConfirmed);
   void onHost(const StoreChange &change);
   void onStoreReachable(bool reachable, std::string_view reason);
 
@@ -56,10 +57,14 @@
   void onHeartbeat(const std::string &from, const HostHeartbeat &heartbeat);
   void onReplicaRequest(const std::string &from, const ReplicaRequest &request);
   void onReplicaReply(const ReplicaReply &reply);
-  void onRevisionUpdate(const std::string &from,
-                        const StoreRevisionUpdate &update);
+  void onVersionUpdate(const std::string &from,
+                       const StoreVersionUpdate &update);
+  void onPeerStoreVersion(const std::string &from, const StoreVersion &version,
+                          Duration age);
   void requestMissingChanges();
-  void sendRevisionUpdates();
+  void requestNewerConfiguration(const std::string &from,
+                                 const HostHeartbeat &heartbeat);
+  void sendVersionUpdates();
   HostHeartbeat heartbeat() const;
 
   // Callers, readiness probes and metrics.
@@ -86,9 +91,10 @@
   std::unordered_map<ActiveRequest *, std::shared_ptr<ActiveRequest>> requests_;
   StoreWatcherSelector watcherSelector_;
   std::uint64_t ticks_ = 0;
-  /// True while changes are applied from a peer whose connection to the store
-  /// is steady, so that a removed entry has not merely expired.
-  bool removalsAreConfirmed_ = false;
+  /// The configuration in force as the operator wrote it, for peers that found
+  /// an older one in a store that was restored from a copy.
+  std::string configurationText_;
+  TimePoint configurationRequestedAt_;
   bool stopping_ = false;
   bool idleConnectionsClosed_ = false;
   bool deregistered_ = false;
--- a/include/auburnspring/serving/settings.h
+++ b/include/auburnspring/serving/settings.h
@@ -30,7 +30,7 @@
   /// Retries that all hosts together may send to a pool in any window: a ratio
   /// of its requests plus a slack.
   double retryRatio = 0.1;
-  std::int64_t retrySlack = 10;
+  double retrySlack = 10;
   Duration retryWindow = std::chrono::seconds(10);
   /// Time from SIGTERM until the process must have exited.
   Duration stopTimeout = std::chrono::seconds(8);
--- a/include/auburnspring/serving/store_follower.h
+++ b/include/auburnspring/serving/store_follower.h
@@ -1,6 +1,7 @@
 #ifndef AUBURNSPRING_SERVING_STORE_FOLLOWER_H
 #define AUBURNSPRING_SERVING_STORE_FOLLOWER_H
 
+#include "auburnspring/decision/store_freshness.h"
 #include "auburnspring/decision/store_replica.h"
 #include "auburnspring/serving/metadata_store.h"
 
@@ -8,6 +9,7 @@
 #include <asio/steady_timer.hpp>
 
 #include <functional>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -16,7 +18,8 @@
 
 /// Keeps this host's replica of the store up to date with one long-poll watch,
 /// and this host's own entry alive with a lease. The lease renewals also show
-/// whether the store is reachable.
+/// whether the store is reachable. When the store has been restored from a
+/// copy, it reads everything again and writes the entry again.
 class StoreFollower {
 public:
   struct Options {
@@ -30,8 +33,11 @@
 
   struct Events {
     /// Changes that the replica did not have yet, in order of arrival.
-    std::function<void(const std::vector<StoreChange> &)> onChanges;
+    std::function<void(const StoreUpdate &)> onUpdate;
     std::function<void(bool reachable, std::string_view reason)> onReachable;
+    /// The store has been restored from a copy. The update that the copy makes
+    /// necessary follows.
+    std::function<void()> onRestored;
   };
 
   StoreFollower(asio::io_context &io, MetadataStore *store, Options options,
@@ -47,8 +53,14 @@
 
   /// Applies changes from the replica of a peer; `isSnapshot` if `changes` is a
   /// full snapshot.
-  void applyFromPeer(bool isSnapshot, std::int64_t revision,
+  void applyFromPeer(bool isSnapshot, bool removalsAreConfirmed,
+                     const StoreVersion &version,
                      const std::vector<StoreChange> &changes);
+  /// Handles the version of a peer's replica and the age of its confirmation.
+  void onPeerVersion(const StoreVersion &version, Duration age);
+  /// Asks the store whether the replica is current, if that was not confirmed
+  /// for too long. `rank` is the number of hosts that are to ask before.
+  void confirmIfStale(std::size_t rank);
 
   /// Sets whether this host watches the store or receives changes from peers.
   void setWatching(bool watching);
@@ -58,8 +70,12 @@
   void setHostCount(std::size_t hostCount) { hostCount_ = hostCount; }
 
   const StoreReplica &replica() const { return replica_; }
+  /// Time since the replica was last confirmed to be current.
+  Duration versionAge() const;
   bool isReachable() const { return reachable_; }
   std::uint64_t storeCalls() const { return storeCalls_; }
+  /// How often the store has been restored from a copy.
+  std::uint64_t restoreCount() const { return restoreCount_; }
 
 private:
   void read();
@@ -71,18 +87,29 @@
   void scheduleRenewal(Duration after);
   void setReachable(bool reachable, std::string_view reason);
   void restartWatch();
+  void onRead(const absl::StatusOr<StoreRead> &result);
   void onWatch(const absl::StatusOr<StoreRead> &result);
-  void publish(const std::vector<StoreChange> &changes);
+  StoreUpdate applyWatch(const StoreRead &read);
+  void onEra(std::int64_t era, std::string_view source);
+  bool hasCurrentSnapshot() const;
+  void publish(const StoreUpdate &update);
   Duration jittered(Duration duration);
 
   MetadataStore *store_;
   Options options_;
   Events events_;
   StoreReplica replica_;
+  StoreFreshness freshness_;
+  /// Newest era that the store or a peer has stated.
+  std::optional<std::int64_t> era_;
+  std::uint64_t restoreCount_ = 0;
   asio::steady_timer readTimer_;
   asio::steady_timer renewTimer_;
   std::mt19937_64 random_;
   std::int64_t lease_ = 0;
+  /// Number of the current registration. Responses to calls of older ones are
+  /// ignored: their lease is gone.
+  std::uint64_t registration_ = 0;
   bool registered_ = false;
   bool reachable_ = false;
   bool reachabilityReported_ = false;
@@ -91,9 +118,10 @@
   /// Number of the latest watch. Responses to older, abandoned watches are
   /// still applied.
   std::uint64_t watchNumber_ = 0;
+  /// Number of the latest full read; the results of older ones are ignored.
+  std::uint64_t readNumber_ = 0;
   bool watchPending_ = false;
   bool leaving_ = false;
-  bool hasSnapshot_ = false;
   std::int64_t failures_ = 0;
   std::uint64_t storeCalls_ = 0;
   std::size_t hostCount_ = 1;
--- a/soak/fault_injector.cpp
+++ b/soak/fault_injector.cpp
@@ -3,6 +3,7 @@
 #include "auburnspring/base/clock.h"
 #include "auburnspring/base/log.h"
 
+#include <algorithm>
 #include <csignal>
 
 namespace auburnspring::soak {
@@ -16,18 +17,24 @@
 constexpr Duration MinFaultTime = std::chrono::milliseconds(100);
 constexpr Duration MaxFaultTime = std::chrono::milliseconds(4000);
 constexpr Duration BurstInterval = std::chrono::milliseconds(200);
+/// How long the store is away at most before it is restored from a copy, and
+/// from then until the operator and the upstreams have written again.
+constexpr Duration MaxRestoreOutage = std::chrono::milliseconds(800);
+constexpr Duration RewriteDelay = std::chrono::milliseconds(700);
 /// Share of the upstreams that a fault affects at the same time.
 constexpr double FaultyUpstreamShare = 0.4;
 
 } // namespace
 
 FaultInjector::FaultInjector(asio::io_context &io, SoakCluster *cluster,
-                             GuaranteeChecker *checker, std::uint64_t seed)
-    : io_(io), cluster_(cluster), checker_(checker), random_(seed) {}
+                             GuaranteeChecker *checker, std::uint64_t seed,
+                             int faultSet)
+    : io_(io), cluster_(cluster), checker_(checker), random_(seed),
+      kinds_(kindsOf(faultSet)) {}
 
-const std::vector<FaultInjector::Kind> &FaultInjector::kinds() {
+std::vector<FaultInjector::Kind> FaultInjector::kindsOf(int faultSet) {
   using Self = FaultInjector;
-  static const std::vector<Kind> all = {
+  std::vector<Kind> kinds = {
       {"kill", &Self::killHost},
       {"kill_all", &Self::killAll},
       {"pause", &Self::pauseHost},
@@ -59,8 +66,15 @@
       {"change_configuration", &Self::changeConfiguration},
       {"change_configuration", &Self::changeConfiguration},
       {"storm_of_configurations", &Self::burstOfConfigurations},
+      {"store_restored", &Self::storeRestored, 2},
+      {"store_restored", &Self::storeRestored, 2},
+      {"workers_refuse_hosts", &Self::upstreamsRefuseHosts, 2},
   };
-  return all;
+  kinds.erase(
+      std::remove_if(kinds.begin(), kinds.end(),
+                     [&](const Kind &kind) { return kind.since > faultSet; }),
+      kinds.end());
+  return kinds;
 }
 
 void FaultInjector::inject(Duration span) { scheduleNext(steadyNow() + span); }
@@ -71,8 +85,8 @@
     const Duration left = until - steadyNow();
     if (left < MinFaultTime)
       return;
-    std::uniform_int_distribution<std::size_t> any(0, kinds().size() - 1);
-    const Kind &kind = kinds()[any(random_)];
+    std::uniform_int_distribution<std::size_t> any(0, kinds_.size() - 1);
+    const Kind &kind = kinds_[any(random_)];
     std::uniform_int_distribution<std::int64_t> length(
         MinFaultTime.count(), std::min(left, MaxFaultTime).count());
     const Duration span(length(random_));
@@ -222,6 +236,18 @@
   disruptFor("store", Duration(0), [] {});
 }
 
+void FaultInjector::storeRestored(Duration span) {
+  const Duration outage = std::min(span, MaxRestoreOutage);
+  cluster_->store().setFaultMode(StoreFaultMode::Unresponsive);
+  runAfter(outage, [this, span] {
+    cluster_->store().setFaultMode(StoreFaultMode::NoFault);
+    // The longer the fault, the older the copy.
+    cluster_->store().restore(span);
+  });
+  disruptFor("store", outage + RewriteDelay,
+             [this] { cluster_->rewriteEntries(); });
+}
+
 // Upstreams.
 
 void FaultInjector::setUpstreamFaults(FaultMode faultMode, Duration span) {
@@ -241,6 +267,9 @@
 void FaultInjector::upstreamsRejectRequests(Duration span) {
   setUpstreamFaults(FaultMode::RejectsRequest, span);
 }
+void FaultInjector::upstreamsRefuseHosts(Duration span) {
+  setUpstreamFaults(FaultMode::RefusesHost, span);
+}
 void FaultInjector::upstreamsFail(Duration span) {
   setUpstreamFaults(FaultMode::Fails, span);
 }
--- a/soak/fault_injector.h
+++ b/soak/fault_injector.h
@@ -12,8 +12,13 @@
 /// ends on its own; after the last one the cluster is undisrupted.
 class FaultInjector {
 public:
+  /// Kinds of faults that were added together. A seed's sequence depends on the
+  /// kinds, so a seed that failed is kept with the set it failed with.
+  static constexpr int LatestFaultSet = 2;
+
   FaultInjector(asio::io_context &io, SoakCluster *cluster,
-                GuaranteeChecker *checker, std::uint64_t seed);
+                GuaranteeChecker *checker, std::uint64_t seed,
+                int faultSet = LatestFaultSet);
 
   /// Injects faults that begin and end within the span, which starts now.
   void inject(Duration span);
@@ -22,8 +27,11 @@
   struct Kind {
     const char *name;
     void (FaultInjector::*begin)(Duration span);
+    /// First fault set that has this kind.
+    int since = 1;
   };
-  static const std::vector<Kind> &kinds();
+  /// The kinds of a fault set.
+  static std::vector<Kind> kindsOf(int faultSet);
 
   void scheduleNext(TimePoint until);
   void runAfter(Duration span, std::function<void()> action);
@@ -59,7 +67,9 @@
   void storeDropsResponses(Duration span);
   void storeSlow(Duration span);
   void storeDiscardsHistory(Duration span);
+  void storeRestored(Duration span);
   void upstreamsRejectRequests(Duration span);
+  void upstreamsRefuseHosts(Duration span);
   void upstreamsFail(Duration span);
   void upstreamsDropResponses(Duration span);
   void upstreamsHang(Duration span);
@@ -75,6 +85,7 @@
   SoakCluster *cluster_;
   GuaranteeChecker *checker_;
   std::mt19937_64 random_;
+  std::vector<Kind> kinds_;
 };
 
 } // namespace auburnspring::soak
--- a/soak/guarantee_checker.cpp
+++ b/soak/guarantee_checker.cpp
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <tuple>
 
 namespace auburnspring::soak {
 
@@ -28,6 +29,9 @@
 /// Subject of a host's planned stops, which only some guarantees exempt.
 std::string stopSubject(const std::string &host) { return host + "/stop"; }
 
+/// Subject of a host's pauses, which excuse more than other disruptions.
+std::string pauseSubject(const std::string &host) { return host + "/pause"; }
+
 bool isAtMostOnce(CallKind kind) {
   return kind == CallKind::AtMostOnce || kind == CallKind::AtMostOnceStream;
 }
@@ -73,6 +77,69 @@
     reportViolation("DRAIN",
                     fmt::format("{} reached {} {} ms after it started to drain",
                                 id, upstream, toMillis(at - draining->second)));
+  checkStatements(call, upstream, at);
+}
+
+bool GuaranteeChecker::Sender::operator<(const Sender &other) const {
+  return std::tie(host, incarnation, upstream) <
+         std::tie(other.host, other.incarnation, other.upstream);
+}
+
+GuaranteeChecker::Sender
+GuaranteeChecker::senderOf(const Call &call,
+                           const std::string &upstream) const {
+  return {call.sent.host, call.sent.incarnation, upstream};
+}
+
+void GuaranteeChecker::checkStatements(const Call &call,
+                                       const std::string &upstream,
+                                       TimePoint at) {
+  const Sender sender = senderOf(call, upstream);
+  const auto stated = leavingStatedAt_.find(sender);
+  if (stated != leavingStatedAt_.end() &&
+      call.sent.sentAt > stated->second + bounds_.drainSlack &&
+      disruptions_.isUndisrupted(pauseSubject(sender.host), stated->second, at))
+    reportViolation("DRAIN",
+                    fmt::format("{} reached {} {} ms after it stated to {} "
+                                "that it leaves",
+                                call.sent.id, upstream,
+                                toMillis(at - stated->second), sender.host));
+  const auto refusals = refusals_.find(sender);
+  if (refusals == refusals_.end())
+    return;
+  for (Refusal &refusal : refusals->second)
+    if (at > refusal.at + bounds_.refusalSlack && at < refusal.until &&
+        ++refusal.arrivals > bounds_.refusalLimit &&
+        disruptions_.isUndisrupted(sender.host, refusal.at, at))
+      reportViolation("BUDGET",
+                      fmt::format("{} reached {} {} ms after it refused {}",
+                                  call.sent.id, upstream,
+                                  toMillis(at - refusal.at), sender.host));
+}
+
+void GuaranteeChecker::onLeavingStated(const std::string &id,
+                                       const std::string &upstream,
+                                       TimePoint at) {
+  const auto found = calls_.find(id);
+  if (found != calls_.end())
+    leavingStatedAt_.emplace(senderOf(found->second, upstream), at);
+}
+
+void GuaranteeChecker::onHostRefused(const std::string &id,
+                                     const std::string &upstream,
+                                     Duration retryAfter, TimePoint at) {
+  const auto found = calls_.find(id);
+  if (found != calls_.end())
+    refusals_[senderOf(found->second, upstream)].push_back(
+        {at, at + retryAfter, 0});
+}
+
+void GuaranteeChecker::onPaused(const std::string &host, TimePoint at) {
+  disruptions_.recordStart(pauseSubject(host), at);
+}
+
+void GuaranteeChecker::onResumed(const std::string &host, TimePoint at) {
+  disruptions_.recordEnd(pauseSubject(host), at);
 }
 
 void GuaranteeChecker::onRun(const std::string &id, const std::string &pool,
--- a/soak/guarantee_checker.h
+++ b/soak/guarantee_checker.h
@@ -45,6 +45,10 @@
   /// From the end of a disruption until time bounds apply again.
   Duration settlingTime = std::chrono::milliseconds(3000);
   Duration drainSlack = std::chrono::milliseconds(2000);
+  /// From an upstream's refusal of a host until it gets no more requests than
+  /// the limit from it.
+  Duration refusalSlack = std::chrono::milliseconds(500);
+  std::int64_t refusalLimit = 2;
   Duration configurationSlack = std::chrono::milliseconds(2000);
   /// From serving a version until no older one may be served.
   Duration rollbackSlack = std::chrono::milliseconds(250);
@@ -81,6 +85,17 @@
   void onConfiguration(std::int64_t version, TimePoint at);
   void onUpstreamDraining(const std::string &upstream, TimePoint at);
 
+  /// An upstream has stated in its response to the request that it is leaving,
+  /// or that it wants no more requests of the sender for a time.
+  void onLeavingStated(const std::string &id, const std::string &upstream,
+                       TimePoint at);
+  void onHostRefused(const std::string &id, const std::string &upstream,
+                     Duration retryAfter, TimePoint at);
+
+  /// The host's process was paused, and resumed.
+  void onPaused(const std::string &host, TimePoint at);
+  void onResumed(const std::string &host, TimePoint at);
+
   /// The host's process was sent SIGTERM, and has ended.
   void onStopRequested(const std::string &host, TimePoint at);
   void onStopped(const std::string &host, TimePoint at);
@@ -108,6 +123,22 @@
     std::int64_t arrivals = 0;
   };
 
+  /// An incarnation of a host, as seen by one upstream.
+  struct Sender {
+    std::string host;
+    std::uint64_t incarnation = 0;
+    std::string upstream;
+    bool operator<(const Sender &other) const;
+  };
+  struct Refusal {
+    TimePoint at;
+    TimePoint until;
+    std::int64_t arrivals = 0;
+  };
+
+  Sender senderOf(const Call &call, const std::string &upstream) const;
+  void checkStatements(const Call &call, const std::string &upstream,
+                       TimePoint at);
   bool isConnected(const std::string &host, TimePoint at) const;
   bool isConnected(const std::string &host, TimePoint from, TimePoint to) const;
   void checkRefusal(const Call &call);
@@ -130,6 +161,8 @@
     bool isRetry;
   };
   std::map<std::string, std::vector<Arrival>> arrivals_;
+  std::map<Sender, TimePoint> leavingStatedAt_;
+  std::map<Sender, std::vector<Refusal>> refusals_;
   std::vector<std::string> violations_;
   std::size_t served_ = 0;
   std::size_t reachedDeadline_ = 0;
--- a/soak/guarantee_checker_test.cpp
+++ b/soak/guarantee_checker_test.cpp
@@ -49,6 +49,44 @@
   }
 }
 
+TEST_CASE("a request after the upstream has stated that it leaves is a "
+          "violation, even while the host is disrupted") {
+  for (const bool isPaused : {false, true}) {
+    GuaranteeChecker checker{GuaranteeBounds()};
+    checker.onSent(call("a", CallKind::Retryable, 0));
+    checker.onLeavingStated("a", "w1", at(10));
+    checker.disruptions().recordStart("h", at(20));
+    if (isPaused) {
+      checker.onPaused("h", at(30));
+      checker.onResumed("h", at(40));
+    }
+    checker.onSent(call("b", CallKind::Retryable, 1900));
+    checker.onArrival("b", "jobs", "w1", at(1901));
+    CHECK(checker.violations().empty());
+    checker.onSent(call("c", CallKind::Retryable, 2100));
+    checker.onArrival("c", "jobs", "w1", at(2101));
+    CHECK(firstViolation(checker) == (isPaused ? "" : "DRAIN"));
+  }
+}
+
+TEST_CASE("more than two requests to an upstream that refuses the host are a "
+          "violation") {
+  GuaranteeChecker checker{GuaranteeBounds()};
+  checker.onSent(call("a", CallKind::Retryable, 0));
+  checker.onHostRefused("a", "w1", std::chrono::milliseconds(1500), at(0));
+  int next = 0;
+  const auto arrive = [&](std::int64_t millis) {
+    const std::string id = "b" + std::to_string(next++);
+    checker.onSent(call(id, CallKind::Retryable, millis));
+    checker.onArrival(id, "jobs", "w1", at(millis));
+  };
+  for (const std::int64_t millis : {100, 200, 300, 600, 700, 1600, 1700, 1800})
+    arrive(millis);
+  CHECK(checker.violations().empty());
+  arrive(1400);
+  CHECK(firstViolation(checker) == "BUDGET");
+}
+
 TEST_CASE("a run after a response that says not executed is a violation") {
   GuaranteeChecker checker{GuaranteeBounds()};
   checker.onSent(call("a", CallKind::AtMostOnce, 0));
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -45,6 +45,8 @@
   -f, --faults SECONDS how long faults are injected (12)
   -n, --hosts N        serving hosts (3)
   -c, --callers N      callers (24)
+  -k, --fault-set N    kinds of faults up to set N (2); seeds that failed with
+                       an earlier set are run with that one
   -d, --dir DIR        settings and logs of the processes (a new directory)
   -h, --help           show this text
 
@@ -60,6 +62,7 @@
   long faultSeconds = 12;
   std::size_t hosts = 3;
   std::size_t callers = 24;
+  int faultSet = FaultInjector::LatestFaultSet;
   std::string directory;
   bool help = false;
 };
@@ -71,11 +74,12 @@
       {"faults", required_argument, nullptr, 'f'},
       {"hosts", required_argument, nullptr, 'n'},
       {"callers", required_argument, nullptr, 'c'},
+      {"fault-set", required_argument, nullptr, 'k'},
       {"dir", required_argument, nullptr, 'd'},
       {"help", no_argument, nullptr, 'h'},
       {nullptr, 0, nullptr, 0}};
   int found = 0;
-  while ((found = getopt_long(argc, argv, "p:s:f:n:c:d:h", longOptions,
+  while ((found = getopt_long(argc, argv, "p:s:f:n:c:k:d:h", longOptions,
                               nullptr)) != -1) {
     switch (found) {
     case 'p':
@@ -93,6 +97,9 @@
     case 'c':
       options->callers = std::strtoul(optarg, nullptr, 10);
       break;
+    case 'k':
+      options->faultSet = static_cast<int>(std::strtol(optarg, nullptr, 10));
+      break;
     case 'd':
       options->directory = optarg;
       break;
@@ -104,7 +111,8 @@
     }
   }
   const bool isUsable = !options->program.empty() && options->hosts > 0 &&
-                        options->callers > 0 && options->faultSeconds >= 0;
+                        options->callers > 0 && options->faultSeconds >= 0 &&
+                        options->faultSet > 0;
   return options->help || (isUsable && optind == argc);
 }
 
@@ -126,7 +134,7 @@
   cluster.startHosts();
   LoadGenerator generator(io, &cluster, &checker, options.seed,
                           options.callers);
-  FaultInjector faults(io, &cluster, &checker, options.seed);
+  FaultInjector faults(io, &cluster, &checker, options.seed, options.faultSet);
   runFor(io, WarmUp);
   const Duration span = std::chrono::seconds(options.faultSeconds);
   faults.inject(span);
--- a/soak/soak_cluster.cpp
+++ b/soak/soak_cluster.cpp
@@ -143,6 +143,7 @@
     return;
   host->isPaused = true;
   checker_->disruptions().recordStart(host->name, steadyNow());
+  checker_->onPaused(host->name, steadyNow());
   host->process.signal(SIGSTOP);
 }
 
@@ -151,6 +152,7 @@
     return;
   host->isPaused = false;
   host->process.signal(SIGCONT);
+  checker_->onResumed(host->name, steadyNow());
   checker_->disruptions().recordEnd(host->name, steadyNow());
 }
 
@@ -184,7 +186,8 @@
       {"Tenants",
        {{{"Name", "bozi"},
          {"ApiKeys", {"k1", fmt::format("k1-{}", version)}}}}}};
-  store_.put(names::ConfigurationKey, config.dump());
+  configuration_ = config.dump();
+  store_.put(names::ConfigurationKey, configuration_);
   previousVersion_ = std::exchange(version_, version);
   checker_->onConfiguration(version, steadyNow());
 }
@@ -203,6 +206,12 @@
   server->onArrival = [this, service, id](const std::string &request) {
     checker_->onArrival(request, service, id, steadyNow());
   };
+  server->onLeavingStated = [this, id](const std::string &request) {
+    checker_->onLeavingStated(request, id, steadyNow());
+  };
+  server->onRefused = [this, id, server](const std::string &request) {
+    checker_->onHostRefused(request, id, server->retryAfter, steadyNow());
+  };
   server->onRun = [this, service](const std::string &request) {
     checker_->onRun(request, service, steadyNow());
   };
@@ -212,25 +221,42 @@
 
 void SoakCluster::listUpstream(SoakUpstream *upstream) {
   upstream->isListed = true;
+  upstream->state = "ready";
   store_.put(names::UpstreamPrefix + upstream->server->id(),
              upstream->server->entry(upstream->service, "a"));
 }
 
+void SoakCluster::rewriteEntries() {
+  store_.put(names::ConfigurationKey, configuration_);
+  for (const auto &upstream : upstreams_) {
+    const std::string key = names::UpstreamPrefix + upstream->server->id();
+    if (upstream->state.empty())
+      store_.remove(key);
+    else
+      store_.put(key, upstream->server->entry(upstream->service, "a",
+                                              upstream->state));
+  }
+}
+
 void SoakCluster::unlistUpstream(SoakUpstream *upstream) {
   upstream->isListed = false;
+  upstream->state.clear();
   store_.remove(names::UpstreamPrefix + upstream->server->id());
 }
 
 void SoakCluster::drainUpstream(SoakUpstream *upstream) {
   const std::string id = upstream->server->id();
   upstream->isListed = false;
+  upstream->state = "draining";
+  upstream->server->statesLeaving = true;
   store_.put(names::UpstreamPrefix + id,
-             upstream->server->entry(upstream->service, "a", "draining"));
+             upstream->server->entry(upstream->service, "a", upstream->state));
   checker_->onUpstreamDraining(id, steadyNow());
   const auto timer = std::make_shared<asio::steady_timer>(io_, DrainTime);
   timer->async_wait([this, timer, upstream, id](asio::error_code error) {
     if (error)
       return;
+    upstream->state.clear();
     store_.remove(names::UpstreamPrefix + id);
     upstream->link->setState(LinkState::Reset);
   });
--- a/soak/soak_cluster.h
+++ b/soak/soak_cluster.h
@@ -31,6 +31,8 @@
   std::unique_ptr<platform::FakeUpstreamServer> server;
   std::unique_ptr<LoopbackProxy> link;
   bool isListed = true;
+  /// State of its entry, if it has one.
+  std::string state = "ready";
 };
 
 /// The store, the upstreams and the processes under test of a run, each behind
@@ -58,6 +60,9 @@
   /// Removes the upstream's entry from the store.
   void unlistUpstream(SoakUpstream *upstream);
   void listUpstream(SoakUpstream *upstream);
+  /// Writes the configuration and the upstreams' entries again, as they do
+  /// after the store was restored from a copy.
+  void rewriteEntries();
 
   platform::FakeStoreServer &store() { return store_; }
   std::vector<std::unique_ptr<SoakHost>> &hosts() { return hosts_; }
@@ -79,6 +84,8 @@
   std::vector<std::unique_ptr<SoakHost>> hosts_;
   std::vector<std::unique_ptr<SoakUpstream>> upstreams_;
   std::map<std::string, std::unique_ptr<http::ClientCall>> readinessProbes_;
+  /// The configuration that was published last.
+  std::string configuration_;
   std::int64_t version_ = 0;
   std::int64_t previousVersion_ = 0;
   int nextUpstream_ = 1;
--- a/src/auburnspring/decision/piece_batcher.cpp
+++ b/src/auburnspring/decision/piece_batcher.cpp
@@ -335,7 +335,22 @@
   return batch;
 }
 
+TimePoint PieceBatcher::earliestStart(TimePoint now) const {
+  std::optional<TimePoint> earliest;
+  for (const auto &entry : upstreams_) {
+    const UpstreamState &upstream = *entry.second.state;
+    if (upstream.mayBeSentWork(now))
+      return now;
+    if (!upstream.isLeaving)
+      earliest = std::min(earliest.value_or(upstream.refusesUntil),
+                          upstream.refusesUntil);
+  }
+  return earliest.value_or(now);
+}
+
 void PieceBatcher::dropUnattainable(TimePoint now) {
+  const TimePoint start = earliestStart(now);
+  lastBacklog_ = std::max(backlog(now), start - now);
   std::vector<JobKey> unattainable;
   for (const auto &entry : jobs_) {
     const JobState &job = entry.second;
@@ -343,8 +358,8 @@
       continue;
     const TimePoint lastStartAt =
         std::max(job.submittedAt, job.spec.targetTime - limits_.callTime);
-    if (now + limits_.callTime > job.spec.deadline ||
-        now > lastStartAt + MaxLateness)
+    if (start + limits_.callTime > job.spec.deadline ||
+        start > lastStartAt + MaxLateness)
       unattainable.push_back(entry.first);
   }
   for (const JobKey &key : unattainable)
@@ -376,7 +391,6 @@
   if (now < lastMaintenanceAt_ + MaintenanceInterval)
     return;
   lastMaintenanceAt_ = now;
-  lastBacklog_ = backlog(now);
   dropUnattainable(now);
   requeueOverdue(now);
   expireResults(now);
--- a/src/auburnspring/decision/placement.cpp
+++ b/src/auburnspring/decision/placement.cpp
@@ -41,16 +41,28 @@
 std::vector<UpstreamStatePtr>
 candidates(absl::Span<const UpstreamStatePtr> upstreams,
            const PlacementRequest &request, TimePoint now) {
+  using Filter = bool (*)(const UpstreamState &, TimePoint);
+  // From the most to the least suitable. An upstream that refuses a peer may
+  // still take requests of this host, and one that is ejected is better than
+  // none.
+  static constexpr Filter Filters[] = {
+      [](const UpstreamState &upstream, TimePoint at) {
+        return upstream.acceptsWork(at) && at >= upstream.refusesPeersUntil;
+      },
+      [](const UpstreamState &upstream, TimePoint at) {
+        return upstream.acceptsWork(at);
+      },
+      [](const UpstreamState &upstream, TimePoint at) {
+        return upstream.mayBeSentWork(at);
+      }};
   std::vector<UpstreamStatePtr> found;
-  for (const UpstreamStatePtr &upstream : upstreams)
-    if (upstream->acceptsWork(now) && !isAvoided(*upstream, request.avoid))
-      found.push_back(upstream);
-  if (!found.empty())
-    return found;
-  // If all are ejected, an ejected upstream is better than none.
-  for (const UpstreamStatePtr &upstream : upstreams)
-    if (!upstream->isLeaving && !isAvoided(*upstream, request.avoid))
-      found.push_back(upstream);
+  for (const Filter filter : Filters) {
+    for (const UpstreamStatePtr &upstream : upstreams)
+      if (filter(*upstream, now) && !isAvoided(*upstream, request.avoid))
+        found.push_back(upstream);
+    if (!found.empty())
+      break;
+  }
   return found;
 }
 
--- a/src/auburnspring/decision/store_replica.cpp
+++ b/src/auburnspring/decision/store_replica.cpp
@@ -1,15 +1,30 @@
 #include "auburnspring/decision/store_replica.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace auburnspring {
 
+void StoreReplica::Item::set(const StoreChange &change) {
+  revision = change.revision;
+  value = change.removed ? std::string() : change.value;
+  removed = change.removed;
+  if (removed)
+    return;
+  if (writes.size() == MaxItemWrites)
+    writes.erase(writes.begin());
+  writes.push_back(revision);
+}
+
+bool StoreReplica::Item::hasWrite(std::int64_t writeRevision) const {
+  return std::find(writes.begin(), writes.end(), writeRevision) != writes.end();
+}
+
 bool StoreReplica::applyChange(const StoreChange &change) {
   Item &item = items_[change.key];
   if (change.revision <= item.revision)
     return false;
-  item = {change.revision, change.removed ? std::string() : change.value,
-          change.removed};
+  item.set(change);
   journal_.push_back(change);
   if (journal_.size() > MaxJournalSize) {
     journalFrom_ = std::max(journalFrom_, journal_.front().revision);
@@ -18,21 +33,30 @@
   return true;
 }
 
-std::vector<StoreChange>
-StoreReplica::apply(const std::vector<StoreChange> &changes,
-                    std::int64_t revision) {
-  std::vector<StoreChange> applied;
+bool StoreReplica::isOutdated(const StoreChange &change) const {
+  return change.revision <= version_.revision &&
+         items_.find(change.key) == items_.end();
+}
+
+StoreUpdate StoreReplica::apply(const std::vector<StoreChange> &changes,
+                                const StoreVersion &version) {
+  StoreUpdate update;
+  if (version.era != version_.era)
+    return update;
   for (const StoreChange &change : changes)
-    if (applyChange(change))
-      applied.push_back(change);
-  revision_ = std::max(revision_, revision);
+    if (!isOutdated(change) && applyChange(change))
+      update.changes.push_back(change);
+  version_ = std::max(version_, version);
   pruneTombstones();
-  return applied;
+  return update;
 }
 
-std::vector<StoreChange>
-StoreReplica::replace(const std::vector<StoreChange> &items,
-                      std::int64_t revision) {
+StoreUpdate StoreReplica::replace(const std::vector<StoreChange> &items,
+                                  const StoreVersion &version) {
+  if (version.era < version_.era)
+    return {};
+  if (version.era > version_.era)
+    return restore(items, version);
   std::vector<StoreChange> changes = items;
   std::vector<std::string> present;
   present.reserve(items.size());
@@ -40,28 +64,67 @@
     present.push_back(item.key);
   std::sort(present.begin(), present.end());
   for (const auto &[key, item] : items_)
-    if (!item.removed && item.revision <= revision &&
+    if (!item.removed && item.revision <= version.revision &&
         !std::binary_search(present.begin(), present.end(), key))
-      changes.push_back({key, "", revision, true});
-  std::vector<StoreChange> applied;
+      changes.push_back({key, "", version.revision, true});
+  const bool isNewer = !(version < version_);
+  StoreUpdate update;
   for (const StoreChange &change : changes)
-    if (applyChange(change))
-      applied.push_back(change);
+    if ((isNewer || !isOutdated(change)) && applyChange(change))
+      update.changes.push_back(change);
   // The journal lacks the changes between the two revisions.
-  if (revision > revision_) {
+  if (version_ < version) {
     journal_.clear();
-    journalFrom_ = revision;
+    journalFrom_ = version.revision;
+  }
+  version_ = std::max(version_, version);
+  return update;
+}
+
+std::int64_t StoreReplica::copiedRevision(const std::vector<StoreChange> &items,
+                                          const Items &before) {
+  std::int64_t copied = 0;
+  for (const StoreChange &item : items) {
+    const auto held = before.find(item.key);
+    if (held != before.end() && held->second.hasWrite(item.revision))
+      copied = std::max(copied, item.revision);
+  }
+  return copied;
+}
+
+StoreUpdate StoreReplica::restore(const std::vector<StoreChange> &items,
+                                  const StoreVersion &version) {
+  StoreUpdate update;
+  const Items before = std::exchange(items_, {});
+  const std::int64_t copied = copiedRevision(items, before);
+  for (StoreChange item : items) {
+    item.isFromCopy = item.revision <= copied;
+    const auto held = before.find(item.key);
+    Item &entry = items_[item.key];
+    if (held != before.end())
+      entry.writes = held->second.writes;
+    entry.set(item);
+    const bool isUnchanged = held != before.end() && !held->second.removed &&
+                             held->second.value == item.value;
+    if (!isUnchanged)
+      update.changes.push_back(std::move(item));
   }
-  revision_ = std::max(revision_, revision);
-  return applied;
+  for (const auto &[key, item] : before)
+    if (!item.removed && items_.count(key) == 0)
+      update.changes.push_back({key, "", version.revision, true, true});
+  // Revisions of the two eras can't be compared.
+  journal_.clear();
+  journalFrom_ = version.revision;
+  version_ = version;
+  return update;
 }
 
-bool StoreReplica::changesAfter(std::int64_t revision,
+bool StoreReplica::changesAfter(const StoreVersion &version,
                                 std::vector<StoreChange> *out) const {
-  if (revision < journalFrom_)
+  if (version.era != version_.era || version.revision < journalFrom_)
     return false;
   for (const StoreChange &change : journal_)
-    if (change.revision > revision)
+    if (change.revision > version.revision)
       out->push_back(change);
   return true;
 }
--- a/src/auburnspring/decision/store_watcher_selector.cpp
+++ b/src/auburnspring/decision/store_watcher_selector.cpp
@@ -44,29 +44,35 @@
     found->second.lastUpdateAt = now;
 }
 
-void StoreWatcherSelector::onRevision(const std::string &from,
-                                      std::int64_t revision, std::int64_t own,
-                                      TimePoint now) {
-  if (revision <= own || revision < newestRevision_)
+void StoreWatcherSelector::onVersion(const std::string &from,
+                                     const StoreVersion &version,
+                                     const StoreVersion &own, TimePoint now) {
+  if (version <= own || version < newestVersion_)
     return;
-  if (newestRevision_ <= own)
+  if (newestVersion_ <= own)
     behindSince_ = now;
-  newestRevision_ = revision;
-  newestRevisionHost_ = from;
+  newestVersion_ = version;
+  newestVersionHost_ = from;
+}
+
+std::size_t StoreWatcherSelector::rank() const {
+  const bool isSmall = peers_.size() < SmallFleet;
+  return static_cast<std::size_t>(
+      std::count_if(peers_.begin(), peers_.end(), [&](const auto &entry) {
+        const Peer &peer = entry.second;
+        return peer.score > score_ &&
+               (isSmall || peer.host.dataCentre == host_.dataCentre);
+      }));
 }
 
 bool StoreWatcherSelector::mustWatch(TimePoint now) const {
   if (peers_.size() < SmallFleet)
     return true;
-  std::size_t rank = 0;
-  for (const auto &entry : peers_)
-    if (entry.second.host.dataCentre == host_.dataCentre &&
-        entry.second.score > score_)
-      ++rank;
-  if (rank < WatchersPerDataCentre)
+  const std::size_t ownRank = rank();
+  if (ownRank < WatchersPerDataCentre)
     return true;
   const auto steps = static_cast<std::int64_t>(
-      std::min(rank - WatchersPerDataCentre, MaxTakeoverSteps));
+      std::min(ownRank - WatchersPerDataCentre, MaxTakeoverSteps));
   const Duration timeout = WatcherTimeout + TakeoverStep * steps;
   std::size_t activeWatchers = 0;
   for (const auto &entry : peers_)
@@ -87,15 +93,15 @@
   return names;
 }
 
-std::optional<std::string> StoreWatcherSelector::fetchSource(std::int64_t own,
-                                                             TimePoint now) {
-  if (newestRevision_ <= own)
+std::optional<std::string>
+StoreWatcherSelector::fetchSource(const StoreVersion &own, TimePoint now) {
+  if (newestVersion_ <= own)
     return std::nullopt;
   const Duration grace = mustWatch(now) ? OwnWatchGrace : Duration(0);
   if (now < behindSince_ + grace || now < lastFetchAt_ + FetchRetryInterval)
     return std::nullopt;
   lastFetchAt_ = now;
-  return newestRevisionHost_;
+  return newestVersionHost_;
 }
 
 } // namespace auburnspring
--- a/src/auburnspring/decision/upstream_registry.cpp
+++ b/src/auburnspring/decision/upstream_registry.cpp
@@ -1,19 +1,62 @@
 #include "auburnspring/decision/upstream_registry.h"
 
+#include <algorithm>
+#include <optional>
+#include <utility>
+
 namespace auburnspring {
 
+bool UpstreamRegistry::isSameIncarnation(const UpstreamEntry &a,
+                                         const UpstreamEntry &b) {
+  return a.startedAtMillis == b.startedAtMillis &&
+         a.endpoint.ip == b.endpoint.ip && a.endpoint.port == b.endpoint.port;
+}
+
+void UpstreamRegistry::recordDeparture(const std::string &key,
+                                       const UpstreamEntry &entry,
+                                       TimePoint now) {
+  departed_.push_back({key, entry, now});
+  while (departed_.size() > MaxDeparted ||
+         departed_.front().at + DepartedRetention < now)
+    departed_.pop_front();
+}
+
+void UpstreamRegistry::forgetDeparture(const std::string &key,
+                                       const UpstreamEntry &entry) {
+  departed_.erase(std::remove_if(departed_.begin(), departed_.end(),
+                                 [&](const Departed &departed) {
+                                   return departed.key == key &&
+                                          isSameIncarnation(departed.entry,
+                                                            entry);
+                                 }),
+                  departed_.end());
+}
+
+bool UpstreamRegistry::hasDeparted(const std::string &key,
+                                   const UpstreamEntry &entry) const {
+  return std::any_of(
+      departed_.begin(), departed_.end(), [&](const Departed &departed) {
+        return departed.key == key && isSameIncarnation(departed.entry, entry);
+      });
+}
+
 UpstreamRegistry::Change UpstreamRegistry::put(const std::string &key,
-                                               UpstreamEntry entry) {
+                                               UpstreamEntry entry,
+                                               TimePoint now,
+                                               EntrySource source) {
+  const bool isCopy = source == EntrySource::RestoredCopy;
+  if (isCopy && hasDeparted(key, entry))
+    return Change::None;
   ++version_;
   expired_.erase(key);
   UpstreamStatePtr &held = byKey_[key];
-  const bool sameIncarnation =
-      held && held->entry.startedAtMillis == entry.startedAtMillis &&
-      held->entry.endpoint.ip == entry.endpoint.ip &&
-      held->entry.endpoint.port == entry.endpoint.port;
+  const bool sameIncarnation = held && isSameIncarnation(held->entry, entry);
   if (!sameIncarnation) {
-    if (held)
+    if (held) {
       held->isLeaving = true;
+      recordDeparture(key, held->entry, now);
+    }
+    forgetDeparture(key, entry);
     held = std::make_shared<UpstreamState>();
     held->entry = std::move(entry);
     held->isLeaving = held->entry.isLeaving;
@@ -21,10 +64,19 @@
   }
   const bool wasLeaving = held->isLeaving;
   held->entry = std::move(entry);
-  held->isLeaving = held->entry.isLeaving;
+  held->isLeaving = held->entry.isLeaving || held->hasAnnouncedLeaving ||
+                    (isCopy && wasLeaving);
   return held->isLeaving && !wasLeaving ? Change::Left : Change::Updated;
 }
 
+bool UpstreamRegistry::markLeaving(UpstreamState *upstream) {
+  upstream->hasAnnouncedLeaving = true;
+  if (std::exchange(upstream->isLeaving, true))
+    return false;
+  ++version_;
+  return true;
+}
+
 UpstreamRegistry::Change UpstreamRegistry::remove(const std::string &key,
                                                   TimePoint now,
                                                   bool isConfirmed) {
@@ -38,6 +90,7 @@
     return Change::Expired;
   }
   found->second->isLeaving = true;
+  recordDeparture(key, found->second->entry, now);
   byKey_.erase(found);
   expired_.erase(key);
   return Change::Left;
@@ -50,6 +103,16 @@
   storeAvailableSince_ = now;
 }
 
+Duration UpstreamRegistry::refusalTime(const std::string &name,
+                                       TimePoint now) const {
+  std::optional<TimePoint> earliest;
+  for (const UpstreamStatePtr &upstream : pool(name))
+    if (!upstream->isLeaving)
+      earliest = std::min(earliest.value_or(upstream->refusesUntil),
+                          upstream->refusesUntil);
+  return earliest ? std::max(Duration(0), *earliest - now) : Duration(0);
+}
+
 std::vector<std::string> UpstreamRegistry::dropExpired(TimePoint now) {
   std::vector<std::string> removed;
   if (storeUnavailable_ || now < storeAvailableSince_ + ExpiryGrace)
@@ -59,6 +122,7 @@
     if (found == byKey_.end())
       continue;
     found->second->isLeaving = true;
+    recordDeparture(entry.first, found->second->entry, now);
     byKey_.erase(found);
     removed.push_back(entry.first);
   }
--- a/src/auburnspring/serving/active_request_attempts.cpp
+++ b/src/auburnspring/serving/active_request_attempts.cpp
@@ -4,6 +4,7 @@
 #include "auburnspring/base/log.h"
 #include "auburnspring/decision/engine_speed.h"
 #include "auburnspring/decision/upstream_health.h"
+#include "auburnspring/serving/upstream_statements.h"
 
 #include <algorithm>
 
@@ -67,8 +68,13 @@
       return;
     if (streamStarted_)
       return abortStream("no_upstream");
-    return possibleRuns_ > 0 ? refuse(502, "no_upstream")
-                             : refuse(503, "no_upstream", DefaultRetryAfter);
+    if (possibleRuns_ > 0)
+      return refuse(502, "no_upstream");
+    const TimePoint now = steadyNow();
+    const Duration refusal = context_->registry.refusalTime(poolName_, now);
+    return refusal > Duration(0)
+               ? refuse(503, "upstreams_refuse", jittered(refusal))
+               : refuse(503, "no_upstream", DefaultRetryAfter);
   }
   startAttempt(upstream);
 }
@@ -100,6 +106,10 @@
   auto attempt = std::make_unique<Attempt>(*context_->io, context_->dialect,
                                            upstream, tokens);
   Attempt *raw = attempt.get();
+  events.onHead = [this, raw] {
+    applyUpstreamStatements(raw->responseInfo(), raw->mutableUpstream(),
+                            &context_->registry, steadyNow());
+  };
   events.onBody = [this, raw](std::string_view bytes) { onBody(raw, bytes); };
   events.onEnd = [weak = weak_from_this(), raw] {
     if (const auto self = weak.lock())
@@ -123,8 +133,12 @@
                         !attempt->responseInfo().isEncoded;
   if (isStream)
     return onEvents(attempt, bytes);
-  if (attempt->body().size() + bytes.size() <= MaxResponseBytes)
-    attempt->body().append(bytes);
+  if (done_)
+    return;
+  // A truncated body must not be forwarded as a complete one.
+  if (attempt->body().size() + bytes.size() > MaxResponseBytes)
+    return refuse(502, "response_too_large");
+  attempt->body().append(bytes);
 }
 
 void ActiveRequest::onEvents(Attempt *attempt, std::string_view bytes) {
--- a/src/auburnspring/serving/active_request_stages.cpp
+++ b/src/auburnspring/serving/active_request_stages.cpp
@@ -161,10 +161,13 @@
 }
 
 Duration ActiveRequest::retryAfterFor(Duration backlog) const {
-  const Duration base = std::clamp(backlog * 2, MinRetryAfter, MaxRetryAfter);
+  return jittered(std::clamp(backlog * 2, MinRetryAfter, MaxRetryAfter));
+}
+
+Duration ActiveRequest::jittered(Duration duration) const {
   std::uniform_real_distribution<double> spread(1, 1 + RetryAfterSpread);
-  return Duration(static_cast<std::int64_t>(static_cast<double>(base.count()) *
-                                            spread(context_->random)));
+  return Duration(static_cast<std::int64_t>(
+      static_cast<double>(duration.count()) * spread(context_->random)));
 }
 
 void ActiveRequest::onStageOutcome(JobOutcome outcome, const std::string &pool,
--- a/src/auburnspring/serving/attempt.cpp
+++ b/src/auburnspring/serving/attempt.cpp
@@ -27,6 +27,7 @@
   callbacks.onHead = [this](http::ResponseHead response) {
     responseInfo_ = dialect_->parseResponseHead(response);
     head_ = std::move(response);
+    events_.onHead();
   };
   callbacks.onBody = [this](std::string_view bytes) { events_.onBody(bytes); };
   callbacks.onEnd = [this](http::CallStatus callStatus,
--- a/src/auburnspring/serving/peer_network.cpp
+++ b/src/auburnspring/serving/peer_network.cpp
@@ -97,6 +97,11 @@
   logEvent(LogLevel::Info, "peer_unlisted", {{"peer", host}});
 }
 
+bool PeerNetwork::isListed(const std::string &host) const {
+  const auto found = peers_.find(host);
+  return found != peers_.end() && found->second.isListed;
+}
+
 void PeerNetwork::setLeaving(const std::string &host, bool leaving) {
   if (host == options_.host) {
     selfLeaving_ = leaving;
--- a/src/auburnspring/serving/piece_dispatcher.cpp
+++ b/src/auburnspring/serving/piece_dispatcher.cpp
@@ -2,6 +2,7 @@
 
 #include "auburnspring/base/clock.h"
 #include "auburnspring/base/log.h"
+#include "auburnspring/serving/upstream_statements.h"
 
 #include <algorithm>
 
@@ -32,8 +33,7 @@
 } // namespace
 
 PieceDispatcher::PieceDispatcher(asio::io_context &io, const Dialect *dialect,
-                                 PeerNetwork *peers,
-                                 const UpstreamRegistry *registry,
+                                 PeerNetwork *peers, UpstreamRegistry *registry,
                                  BatchLimitsLookup limits)
     : io_(io), dialect_(dialect), peers_(peers), registry_(registry),
       batchLimits_(std::move(limits)), releaseTimer_(io) {}
@@ -255,7 +255,7 @@
   call.pool = pool;
   call.items = batch.items.size();
   call.startedAt = steadyNow();
-  call.upstream = batch.upstream->entry.id;
+  call.upstream = batch.upstream;
   ++counters_.batches;
   counters_.pieces += batch.items.size();
   const std::string body = dialect_->batchBody(batch.items);
@@ -264,8 +264,11 @@
   http::ClientCallbacks callbacks;
   callbacks.onHead = [this, number](const http::ResponseHead &head) {
     BatchCall &entry = batches_.at(number);
+    const ResponseInfo response = dialect_->parseResponseHead(head);
     entry.status = head.status;
-    entry.notRun = dialect_->parseResponseHead(head).isNotRun;
+    entry.notRun = response.isNotRun;
+    applyUpstreamStatements(response, entry.upstream.get(), registry_,
+                            steadyNow());
   };
   callbacks.onBody = [this, number](std::string_view bytes) {
     BatchCall &entry = batches_.at(number);
@@ -291,7 +294,7 @@
   logEvent(LogLevel::Info, "batch_sent",
            {{"pool", pool},
             {"batch", static_cast<unsigned long>(number)},
-            {"upstream", call.upstream},
+            {"upstream", call.upstream->entry.id},
             {"pieces", static_cast<unsigned long>(call.items)},
             {"far", static_cast<unsigned long>(batch.remotePieces)},
             {"waiting", static_cast<unsigned long>(
@@ -337,7 +340,7 @@
     logEvent(LogLevel::Warning, "batch_failed",
              {{"pool", call.pool},
               {"batch", static_cast<unsigned long>(number)},
-              {"upstream", call.upstream},
+              {"upstream", call.upstream->entry.id},
               {"status", call.status},
               {"not_run", batchStatus == BatchStatus::NotRun},
               {"failed_pieces", static_cast<long>(failed)},
--- a/src/auburnspring/serving/serving_host.cpp
+++ b/src/auburnspring/serving/serving_host.cpp
@@ -2,6 +2,7 @@
 
 #include "auburnspring/base/clock.h"
 #include "auburnspring/base/log.h"
+#include "auburnspring/serving/upstream_statements.h"
 
 #include <absl/strings/match.h>
 #include <absl/strings/numbers.h>
@@ -18,8 +19,8 @@
 constexpr Duration TickInterval = std::chrono::milliseconds(100);
 /// Ticks between two heartbeats.
 constexpr std::uint64_t TicksPerHeartbeat = 2;
-/// Ticks between two revision updates of a host that watches the store.
-constexpr std::uint64_t TicksPerRevisionUpdate = 2;
+/// Ticks between two version updates of a host that watches the store.
+constexpr std::uint64_t TicksPerVersionUpdate = 2;
 /// Peers that receive each heartbeat.
 constexpr std::size_t HeartbeatFanout = 12;
 /// Idle connections stay open this long after SIGTERM, for callers that do not
@@ -32,6 +33,9 @@
 constexpr Duration FinalResponseMargin = std::chrono::milliseconds(1000);
 /// The process exits at the latest this long before the stop timeout.
 constexpr Duration ExitMargin = std::chrono::milliseconds(400);
+/// Least time between two requests for a peer's configuration.
+constexpr Duration ConfigurationRequestInterval =
+    std::chrono::milliseconds(500);
 /// Retry-After of a request that a stopping host refuses.
 constexpr Duration StoppingRetryAfter = std::chrono::milliseconds(50);
 
@@ -77,12 +81,11 @@
                 {dialect->hostPrefix() + settings_.host,
                  hostEntry(settings_, false), hostEntry(settings_, true),
                  randomSeed()},
-                {[this](const std::vector<StoreChange> &changes) {
-                   onStoreChanges(changes);
-                 },
+                {[this](const StoreUpdate &update) { onStoreUpdate(update); },
                  [this](bool reachable, std::string_view reason) {
                    onStoreReachable(reachable, reason);
-                 }}),
+                 },
+                 [this] { context_.registry.onStoreRestored(steadyNow()); }}),
       callerServer_(io,
                     [this](std::shared_ptr<http::Exchange> exchange) {
                       onCaller(std::move(exchange));
@@ -102,9 +105,8 @@
   context_.dialect = dialect;
   context_.pieceDispatcher = &pieceDispatcher_;
   context_.random.seed(randomSeed());
-  context_.retryQuota.setLimits({settings_.retryRatio,
-                                 static_cast<double>(settings_.retrySlack),
-                                 settings_.retryWindow});
+  context_.retryQuota.setLimits(
+      {settings_.retryRatio, settings_.retrySlack, settings_.retryWindow});
 }
 
 ServingHost::~ServingHost() = default;
@@ -134,19 +136,19 @@
 
 // Changes of the store.
 
-void ServingHost::onStoreChanges(const std::vector<StoreChange> &changes) {
+void ServingHost::onStoreUpdate(const StoreUpdate &update) {
   const std::uint64_t before = context_.registry.version();
-  for (const StoreChange &change : changes) {
+  for (const StoreChange &change : update.changes) {
     if (change.key == dialect_->configurationKey())
       onConfiguration(change);
     else if (absl::StartsWith(change.key, dialect_->upstreamPrefix()))
-      onUpstream(change);
+      onUpstream(change, update.removalsAreConfirmed);
     else if (absl::StartsWith(change.key, dialect_->hostPrefix()))
       onHost(change);
   }
   if (context_.registry.version() != before)
     pieceDispatcher_.onUpstreamsChanged();
-  sendRevisionUpdates();
+  sendVersionUpdates();
 }
 
 void ServingHost::onConfiguration(const StoreChange &change) {
@@ -155,11 +157,17 @@
              {{"revision", static_cast<long>(change.revision)}});
     return;
   }
-  absl::StatusOr<RoutingTable> table =
-      dialect_->parseConfiguration(change.value);
+  applyConfiguration(change.value, "store");
+}
+
+void ServingHost::applyConfiguration(const std::string &text,
+                                     std::string_view source) {
+  const auto revision =
+      static_cast<long>(follower_.replica().version().revision);
+  absl::StatusOr<RoutingTable> table = dialect_->parseConfiguration(text);
   if (!table.ok()) {
     logEvent(LogLevel::Error, "configuration_unreadable",
-             {{"revision", static_cast<long>(change.revision)},
+             {{"revision", revision},
               {"error", std::string(table.status().message())}});
     return;
   }
@@ -171,11 +179,13 @@
   }
   logEvent(LogLevel::Info, "configuration_in_force",
            {{"version", static_cast<long>(table->version)},
-            {"revision", static_cast<long>(change.revision)},
+            {"source", std::string(source)},
+            {"revision", revision},
             {"routes", static_cast<unsigned long>(table->routes.size())},
             {"pools", static_cast<unsigned long>(table->pools.size())},
             {"organisations",
              static_cast<unsigned long>(table->organisations.size())}});
+  configurationText_ = text;
   context_.table = std::make_shared<const RoutingTable>(*std::move(table));
   const CallerLimits &limits = context_.table->limits;
   callerServer_.setLimits({static_cast<std::size_t>(limits.maxHeadBytes),
@@ -184,33 +194,33 @@
   pieceDispatcher_.onUpstreamsChanged();
 }
 
-void ServingHost::onUpstream(const StoreChange &change) {
+void ServingHost::onUpstream(const StoreChange &change,
+                             bool isRemovalConfirmed) {
   using Change = UpstreamRegistry::Change;
+  using Source = UpstreamRegistry::EntrySource;
   static constexpr const char *Names[] = {"none", "joined", "left", "updated",
                                           "lapsed"};
-  Change outcome = Change::None;
-  if (!change.removed) {
-    absl::StatusOr<UpstreamEntry> entry =
-        dialect_->parseUpstream(change.key, change.value);
-    if (entry.ok()) {
-      outcome = context_.registry.put(change.key, *std::move(entry));
-    } else {
-      logEvent(LogLevel::Warning, "upstream_entry_ignored",
-               {{"key", change.key},
-                {"revision", static_cast<long>(change.revision)},
-                {"error", std::string(entry.status().message())}});
-      outcome = context_.registry.remove(change.key, steadyNow(),
-                                         removalsAreConfirmed_);
-    }
-  } else {
-    outcome = context_.registry.remove(change.key, steadyNow(),
-                                       removalsAreConfirmed_);
-  }
+  const TimePoint now = steadyNow();
+  absl::StatusOr<UpstreamEntry> entry =
+      change.removed ? absl::NotFoundError("removed")
+                     : dialect_->parseUpstream(change.key, change.value);
+  if (!change.removed && !entry.ok())
+    logEvent(LogLevel::Warning, "upstream_entry_ignored",
+             {{"key", change.key},
+              {"revision", static_cast<long>(change.revision)},
+              {"error", std::string(entry.status().message())}});
+  const Change outcome =
+      entry.ok()
+          ? context_.registry.put(change.key, *std::move(entry), now,
+                                  change.isFromCopy ? Source::RestoredCopy
+                                                    : Source::Written)
+          : context_.registry.remove(change.key, now, isRemovalConfirmed);
   if (outcome != Change::None && outcome != Change::Updated)
     logEvent(LogLevel::Info, "upstream_changed",
              {{"upstream", change.key},
               {"change", Names[static_cast<int>(outcome)]},
               {"removed", change.removed},
+              {"from_copy", change.isFromCopy},
               {"revision", static_cast<long>(change.revision)},
               {"store_reachable", follower_.isReachable()}});
 }
@@ -222,6 +232,9 @@
     watcherSelector_.removeHost(host);
     return peers_.setUnlisted(host, now);
   }
+  // A host that had been removed returns only with an entry of its own.
+  if (change.isFromCopy && !peers_.isListed(host))
+    return;
   const std::vector<std::string> fields = absl::StrSplit(change.value, ' ');
   const std::optional<Endpoint> endpoint = parseEndpoint(fields[0]);
   if (!endpoint) {
@@ -266,8 +279,12 @@
     return onReplicaRequest(from, *request);
   if (const auto *reply = std::get_if<ReplicaReply>(&message))
     return onReplicaReply(*reply);
-  if (const auto *update = std::get_if<StoreRevisionUpdate>(&message))
-    return onRevisionUpdate(from, *update);
+  if (const auto *update = std::get_if<StoreVersionUpdate>(&message))
+    return onVersionUpdate(from, *update);
+  if (std::holds_alternative<OperatorConfigurationRequest>(message))
+    return peers_.send(from, OperatorConfigurationReply{configurationText_});
+  if (const auto *reply = std::get_if<OperatorConfigurationReply>(&message))
+    return applyConfiguration(reply->value, "peer");
   if (const auto *probe = std::get_if<BatcherProbe>(&message);
       probe != nullptr && !probe->isReply)
     peers_.send(from, BatcherProbe{true});
@@ -283,46 +300,66 @@
     if (const UpstreamStatePtr upstream = context_.registry.byId(load.upstream))
       upstream->peers[from] = {load.inFlight, load.prefillTokens,
                                load.reservedTokens, now};
-  watcherSelector_.onRevision(from, heartbeat.storeRevision,
-                              follower_.replica().revision(), now);
-  requestMissingChanges();
+  for (const UpstreamNotice &notice : heartbeat.notices)
+    applyUpstreamNotice(notice, from, &context_.registry, now);
+  onPeerStoreVersion(from, heartbeat.storeVersion, heartbeat.storeVersionAge);
+  requestNewerConfiguration(from, heartbeat);
 }
 
-void ServingHost::onRevisionUpdate(const std::string &from,
-                                   const StoreRevisionUpdate &update) {
-  const TimePoint now = steadyNow();
-  watcherSelector_.onWatcherUpdate(from, now);
-  watcherSelector_.onRevision(from, update.revision,
-                              follower_.replica().revision(), now);
+void ServingHost::onVersionUpdate(const std::string &from,
+                                  const StoreVersionUpdate &update) {
+  watcherSelector_.onWatcherUpdate(from, steadyNow());
+  onPeerStoreVersion(from, update.version, update.age);
+}
+
+void ServingHost::onPeerStoreVersion(const std::string &from,
+                                     const StoreVersion &version,
+                                     Duration age) {
+  follower_.onPeerVersion(version, age);
+  watcherSelector_.onVersion(from, version, follower_.replica().version(),
+                             steadyNow());
   requestMissingChanges();
 }
 
 void ServingHost::requestMissingChanges() {
-  const std::int64_t own = follower_.replica().revision();
+  const StoreVersion own = follower_.replica().version();
   if (const auto host = watcherSelector_.fetchSource(own, steadyNow()))
     peers_.send(*host, ReplicaRequest{own});
 }
 
-void ServingHost::sendRevisionUpdates() {
+void ServingHost::requestNewerConfiguration(const std::string &from,
+                                            const HostHeartbeat &heartbeat) {
+  // A peer that is ahead in the store as well delivers it with other changes.
+  const std::int64_t own = context_.table ? context_.table->version : 0;
+  const TimePoint now = steadyNow();
+  if (heartbeat.configurationVersion <= own ||
+      follower_.replica().version() < heartbeat.storeVersion ||
+      now < configurationRequestedAt_ + ConfigurationRequestInterval)
+    return;
+  configurationRequestedAt_ = now;
+  peers_.send(from, OperatorConfigurationRequest{});
+}
+
+void ServingHost::sendVersionUpdates() {
   if (!follower_.isWatching() || !follower_.isReachable() || stopping_)
     return;
   for (const std::string &host : watcherSelector_.updateRecipients())
-    peers_.send(host, StoreRevisionUpdate{follower_.replica().revision()});
+    peers_.send(host, StoreVersionUpdate{follower_.replica().version(),
+                                         follower_.versionAge()});
 }
 
 void ServingHost::onReplicaReply(const ReplicaReply &reply) {
-  removalsAreConfirmed_ = reply.removalsAreConfirmed;
-  follower_.applyFromPeer(reply.isSnapshot, reply.revision, reply.changes);
-  removalsAreConfirmed_ = false;
+  follower_.applyFromPeer(reply.isSnapshot, reply.removalsAreConfirmed,
+                          reply.version, reply.changes);
 }
 
 void ServingHost::onReplicaRequest(const std::string &from,
                                    const ReplicaRequest &request) {
   ReplicaReply reply;
   const StoreReplica &replica = follower_.replica();
-  reply.revision = replica.revision();
+  reply.version = replica.version();
   reply.removalsAreConfirmed = context_.registry.isStoreStable(steadyNow());
-  if (!replica.changesAfter(request.revision, &reply.changes)) {
+  if (!replica.changesAfter(request.version, &reply.changes)) {
     reply.isSnapshot = true;
     reply.changes = replica.snapshot();
   }
@@ -331,14 +368,24 @@
 
 HostHeartbeat ServingHost::heartbeat() const {
   HostHeartbeat heartbeat;
-  heartbeat.storeRevision = follower_.replica().revision();
+  heartbeat.storeVersion = follower_.replica().version();
+  heartbeat.storeVersionAge = follower_.versionAge();
   heartbeat.storeReachable = follower_.isReachable();
   heartbeat.isLeaving = stopping_;
-  for (const auto &entry : context_.registry.all())
-    if (entry.second->inFlight > 0)
-      heartbeat.loads.push_back({entry.second->entry.id, entry.second->inFlight,
-                                 entry.second->prefillTokens,
-                                 entry.second->reservedTokens});
+  heartbeat.configurationVersion = context_.table ? context_.table->version : 0;
+  const TimePoint now = steadyNow();
+  for (const auto &entry : context_.registry.all()) {
+    const UpstreamState &upstream = *entry.second;
+    if (upstream.inFlight > 0)
+      heartbeat.loads.push_back({upstream.entry.id, upstream.inFlight,
+                                 upstream.prefillTokens,
+                                 upstream.reservedTokens});
+    if (upstream.hasAnnouncedLeaving || now < upstream.refusesUntil)
+      heartbeat.notices.push_back(
+          {upstream.entry.id, upstream.entry.startedAtMillis,
+           upstream.hasAnnouncedLeaving,
+           std::max(Duration(0), upstream.refusesUntil - now)});
+  }
   return heartbeat;
 }
 
@@ -373,7 +420,11 @@
   metrics.set("caller_connections",
               static_cast<double>(callerServer_.connectionCount()));
   metrics.set("store_revision",
-              static_cast<double>(follower_.replica().revision()));
+              static_cast<double>(follower_.replica().version().revision));
+  metrics.set("store_era",
+              static_cast<double>(follower_.replica().version().era));
+  metrics.set("store_restores", static_cast<double>(follower_.restoreCount()));
+  metrics.set("store_version_age_ms", toMillis(follower_.versionAge()));
   metrics.set("store_reachable", follower_.isReachable() ? 1 : 0);
   metrics.set("store_calls", static_cast<double>(follower_.storeCalls()));
   metrics.set("configuration_version",
@@ -411,9 +462,11 @@
   const TimePoint now = steadyNow();
   if (++ticks_ % TicksPerHeartbeat == 0)
     peers_.broadcast(heartbeat(), HeartbeatFanout);
-  if (ticks_ % TicksPerRevisionUpdate == 0)
-    sendRevisionUpdates();
+  if (ticks_ % TicksPerVersionUpdate == 0)
+    sendVersionUpdates();
   follower_.setWatching(watcherSelector_.mustWatch(now));
+  if (follower_.isWatching())
+    follower_.confirmIfStale(watcherSelector_.rank());
   requestMissingChanges();
   const std::vector<std::string> expired = context_.registry.dropExpired(now);
   for (const std::string &key : expired)
@@ -482,12 +535,11 @@
   settings_.retrySlack = settings.retrySlack;
   settings_.retryWindow = settings.retryWindow;
   settings_.stopTimeout = settings.stopTimeout;
-  context_.retryQuota.setLimits({settings_.retryRatio,
-                                 static_cast<double>(settings_.retrySlack),
-                                 settings_.retryWindow});
+  context_.retryQuota.setLimits(
+      {settings_.retryRatio, settings_.retrySlack, settings_.retryWindow});
   logEvent(LogLevel::Info, "settings_reloaded",
            {{"retry_ratio", settings_.retryRatio},
-            {"retry_slack", static_cast<long>(settings_.retrySlack)}});
+            {"retry_slack", settings_.retrySlack}});
 }
 
 } // namespace auburnspring
--- a/src/auburnspring/serving/settings.cpp
+++ b/src/auburnspring/serving/settings.cpp
@@ -60,8 +60,8 @@
   reader.number("processor_share", &settings.processorShare, 0.001, 1024,
                 Presence::Optional);
   reader.number("retry_ratio", &settings.retryRatio, 0, 10, Presence::Optional);
-  reader.integer("retry_slack", &settings.retrySlack, 0, 1000000,
-                 Presence::Optional);
+  reader.number("retry_slack", &settings.retrySlack, 0, 1000000,
+                Presence::Optional);
   settings.retryWindow =
       readSeconds(&reader, "retry_window_s", settings.retryWindow);
   settings.stopTimeout =
--- a/src/auburnspring/serving/store_follower.cpp
+++ b/src/auburnspring/serving/store_follower.cpp
@@ -4,6 +4,7 @@
 #include "auburnspring/base/log.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace auburnspring {
 
@@ -12,9 +13,9 @@
 /// One watch covers the whole store: keys that are not needed are small and
 /// change rarely.
 constexpr const char *AllKeysPrefix = "";
-/// A watch without changes ends after this time. It and the timeout of a call
-/// bound how long an unresponsive connection goes unnoticed.
-constexpr Duration WatchTimeout = std::chrono::seconds(5);
+/// A watch without changes ends after this time. StoreFreshness notices earlier
+/// if it was lost.
+constexpr Duration WatchTimeout = std::chrono::seconds(15);
 /// Minimum interval between watches. It grows with the fleet, so that a burst
 /// of changes costs few calls, and stays well below the time within which a
 /// change must be in force.
@@ -22,7 +23,9 @@
 constexpr Duration MaxWatchInterval = std::chrono::milliseconds(500);
 constexpr Duration WatchIntervalPerHost = std::chrono::milliseconds(8);
 constexpr Duration LeaseTtl = std::chrono::milliseconds(4000);
-constexpr Duration RenewInterval = std::chrono::milliseconds(1000);
+constexpr Duration RenewInterval = std::chrono::milliseconds(1500);
+/// Delay before a failed renewal is repeated: two attempts fit into the TTL.
+constexpr Duration RenewRetryDelay = std::chrono::milliseconds(600);
 constexpr Duration MinRetryDelay = std::chrono::milliseconds(150);
 constexpr Duration MaxRetryDelay = std::chrono::milliseconds(1200);
 
@@ -31,7 +34,18 @@
 StoreFollower::StoreFollower(asio::io_context &io, MetadataStore *store,
                              Options options, Events events)
     : store_(store), options_(std::move(options)), events_(std::move(events)),
-      readTimer_(io), renewTimer_(io), random_(options_.seed) {}
+      readTimer_(io), renewTimer_(io), random_(options_.seed) {
+  store_->setEraHandler([this](std::int64_t era) { onEra(era, "store"); });
+}
+
+Duration StoreFollower::versionAge() const {
+  return freshness_.age(steadyNow());
+}
+
+bool StoreFollower::hasCurrentSnapshot() const {
+  return replica_.version().revision > 0 &&
+         replica_.version().era == era_.value_or(0);
+}
 
 void StoreFollower::start() {
   read();
@@ -53,7 +67,8 @@
   logEvent(reachable ? LogLevel::Info : LogLevel::Warning,
            reachable ? "store_regained" : "store_lost",
            {{"why", std::string(reason)},
-            {"revision", static_cast<long>(replica_.revision())}});
+            {"era", static_cast<long>(replica_.version().era)},
+            {"revision", static_cast<long>(replica_.version().revision)}});
   events_.onReachable(reachable, reason);
   if (reachable)
     restartWatch();
@@ -65,46 +80,77 @@
   watching_ = watching;
   logEvent(LogLevel::Info, "store_watch",
            {{"watching", watching},
-            {"revision", static_cast<long>(replica_.revision())}});
-  if (watching && hasSnapshot_ && !watchPending_)
+            {"revision", static_cast<long>(replica_.version().revision)}});
+  if (watching && replica_.version().revision > 0 && !watchPending_)
     scheduleRead(Duration(0));
 }
 
 void StoreFollower::restartWatch() {
   // A watch from before an outage may never complete, even if the store is
   // reachable again.
-  if (hasSnapshot_ && watching_ && watchPending_)
+  if (hasCurrentSnapshot() && watching_ && watchPending_)
     scheduleRead(Duration(0));
 }
 
-void StoreFollower::publish(const std::vector<StoreChange> &changes) {
-  if (!changes.empty())
-    events_.onChanges(changes);
+void StoreFollower::publish(const StoreUpdate &update) {
+  if (!update.changes.empty())
+    events_.onUpdate(update);
+}
+
+void StoreFollower::onEra(std::int64_t era, std::string_view source) {
+  if (era_ && era <= *era_)
+    return;
+  const std::optional<std::int64_t> before = std::exchange(era_, era);
+  if (!before)
+    return;
+  ++restoreCount_;
+  logEvent(LogLevel::Warning, "store_restored",
+           {{"from_era", static_cast<long>(*before)},
+            {"era", static_cast<long>(era)},
+            {"revision", static_cast<long>(replica_.version().revision)},
+            {"source", std::string(source)}});
+  events_.onRestored();
+  // The copy may lack this host's lease and entry.
+  registered_ = false;
+  lease_ = 0;
+  registerHost();
+  if (!watching_ || hasCurrentSnapshot())
+    return;
+  // The pending watch waits for a revision that the store may never reach.
+  ++watchNumber_;
+  watchPending_ = false;
+  read();
 }
 
 void StoreFollower::read() {
   ++storeCalls_;
-  store_->readAll(AllKeysPrefix, [this](absl::StatusOr<StoreRead> result) {
-    if (!result.ok()) {
-      setReachable(false, std::string(result.status().message()));
-      const Duration backoff =
-          MinRetryDelay * (1 << std::min<std::int64_t>(failures_, 4));
-      return scheduleRead(jittered(std::min(MaxRetryDelay, backoff)));
-    }
-    setReachable(true, "read");
-    hasSnapshot_ = true;
-    publish(replica_.replace(result->changes, result->revision));
-    if (watching_)
-      watch();
+  store_->readAll(AllKeysPrefix, [this, number = ++readNumber_](
+                                     const absl::StatusOr<StoreRead> &result) {
+    if (number == readNumber_)
+      onRead(result);
   });
 }
 
+void StoreFollower::onRead(const absl::StatusOr<StoreRead> &result) {
+  if (!result.ok()) {
+    setReachable(false, std::string(result.status().message()));
+    const Duration backoff =
+        MinRetryDelay * (1 << std::min<std::int64_t>(failures_, 4));
+    return scheduleRead(jittered(std::min(MaxRetryDelay, backoff)));
+  }
+  setReachable(true, "read");
+  publish(replica_.replace(result->changes, result->version));
+  freshness_.onConfirmed(steadyNow());
+  if (watching_)
+    watch();
+}
+
 void StoreFollower::scheduleRead(Duration after) {
   readTimer_.expires_after(after);
   readTimer_.async_wait([this](asio::error_code error) {
     if (error)
       return;
-    if (!hasSnapshot_)
+    if (!hasCurrentSnapshot())
       read();
     else if (watching_)
       watch();
@@ -116,15 +162,43 @@
   watchStartedAt_ = steadyNow();
   watchPending_ = true;
   store_->watch(
-      AllKeysPrefix, replica_.revision(), WatchTimeout,
+      AllKeysPrefix, replica_.version().revision, WatchTimeout,
       [this, number = ++watchNumber_](const absl::StatusOr<StoreRead> &result) {
         if (result.ok())
-          publish(replica_.apply(result->changes, result->revision));
+          publish(applyWatch(*result));
         if (number == watchNumber_)
           onWatch(result);
       });
 }
 
+StoreUpdate StoreFollower::applyWatch(const StoreRead &read) {
+  if (read.version.era == replica_.version().era)
+    freshness_.onConfirmed(steadyNow());
+  return replica_.apply(read.changes, read.version);
+}
+
+void StoreFollower::confirmIfStale(std::size_t rank) {
+  if (!watching_ || !watchPending_ || !reachable_ ||
+      !freshness_.mustAsk(rank, steadyNow()))
+    return;
+  ++storeCalls_;
+  store_->poll(
+      AllKeysPrefix, replica_.version().revision,
+      [this](const absl::StatusOr<StoreRead> &result) {
+        if (!result.ok())
+          return;
+        const StoreUpdate update = applyWatch(*result);
+        if (update.changes.empty())
+          return;
+        logEvent(
+            LogLevel::Warning, "store_watch_lost",
+            {{"revision", static_cast<long>(replica_.version().revision)},
+             {"changes", static_cast<unsigned long>(update.changes.size())}});
+        publish(update);
+        restartWatch();
+      });
+}
+
 void StoreFollower::onWatch(const absl::StatusOr<StoreRead> &result) {
   watchPending_ = false;
   if (result.ok()) {
@@ -137,7 +211,7 @@
   }
   if (result.status().code() == absl::StatusCode::kOutOfRange) {
     logEvent(LogLevel::Info, "store_history_gone",
-             {{"revision", static_cast<long>(replica_.revision())}});
+             {{"revision", static_cast<long>(replica_.version().revision)}});
     // A host that no longer watches gets the missing changes from its peers.
     return watching_ ? read() : void();
   }
@@ -151,7 +225,10 @@
 
 void StoreFollower::registerHost() {
   ++storeCalls_;
-  store_->createLease(LeaseTtl, [this](absl::StatusOr<std::int64_t> lease) {
+  store_->createLease(LeaseTtl, [this, registration = ++registration_](
+                                    absl::StatusOr<std::int64_t> lease) {
+    if (registration != registration_)
+      return;
     if (!lease.ok()) {
       setReachable(false, std::string(lease.status().message()));
       return scheduleRenewal(jittered(RenewInterval));
@@ -164,18 +241,20 @@
 
 void StoreFollower::writeEntry() {
   ++storeCalls_;
-  store_->put(
-      options_.hostKey, leaving_ ? options_.leavingValue : options_.hostValue,
-      lease_,
-      [this, leaving = leaving_](const absl::StatusOr<std::int64_t> &written) {
-        registered_ = written.ok();
-        if (!written.ok())
-          lease_ = 0;
-        // The host may have begun to stop in the meantime.
-        else if (leaving != leaving_)
-          return writeEntry();
-        scheduleRenewal(jittered(RenewInterval));
-      });
+  store_->put(options_.hostKey,
+              leaving_ ? options_.leavingValue : options_.hostValue, lease_,
+              [this, leaving = leaving_, registration = registration_](
+                  const absl::StatusOr<std::int64_t> &written) {
+                if (registration != registration_)
+                  return;
+                registered_ = written.ok();
+                if (!written.ok())
+                  lease_ = 0;
+                // The host may have begun to stop in the meantime.
+                else if (leaving != leaving_)
+                  return writeEntry();
+                scheduleRenewal(jittered(RenewInterval));
+              });
 }
 
 void StoreFollower::scheduleRenewal(Duration after) {
@@ -189,7 +268,10 @@
 
 void StoreFollower::renew() {
   ++storeCalls_;
-  store_->renewLease(lease_, [this](const absl::StatusOr<Duration> &ttl) {
+  store_->renewLease(lease_, [this, registration = registration_](
+                                 const absl::StatusOr<Duration> &ttl) {
+    if (registration != registration_)
+      return;
     if (ttl.ok()) {
       setReachable(true, "renewal");
     } else if (ttl.status().code() == absl::StatusCode::kNotFound) {
@@ -199,6 +281,7 @@
       return registerHost();
     } else {
       setReachable(false, std::string(ttl.status().message()));
+      return scheduleRenewal(jittered(RenewRetryDelay));
     }
     scheduleRenewal(RenewInterval);
   });
@@ -225,12 +308,22 @@
       });
 }
 
-void StoreFollower::applyFromPeer(bool isSnapshot, std::int64_t revision,
+void StoreFollower::applyFromPeer(bool isSnapshot, bool removalsAreConfirmed,
+                                  const StoreVersion &version,
                                   const std::vector<StoreChange> &changes) {
-  if (revision <= replica_.revision())
+  if (version <= replica_.version())
     return;
-  publish(isSnapshot ? replica_.replace(changes, revision)
-                     : replica_.apply(changes, revision));
+  StoreUpdate update = isSnapshot ? replica_.replace(changes, version)
+                                  : replica_.apply(changes, version);
+  update.removalsAreConfirmed = removalsAreConfirmed;
+  onEra(version.era, "peer");
+  publish(update);
+  // A watch of this host should have delivered them before.
+  restartWatch();
+}
+
+void StoreFollower::onPeerVersion(const StoreVersion &version, Duration age) {
+  freshness_.onPeerVersion(version, age, replica_.version(), steadyNow());
 }
 
 } // namespace auburnspring
--- /dev/null
+++ b/src/auburnspring/serving/upstream_statements.cpp
@@ -0,0 +1,52 @@
+#include "auburnspring/serving/upstream_statements.h"
+
+#include "auburnspring/base/log.h"
+
+#include <algorithm>
+
+namespace auburnspring {
+
+namespace {
+
+void markLeaving(UpstreamState *upstream, UpstreamRegistry *registry,
+                 const std::string &source) {
+  if (!registry->markLeaving(upstream))
+    return;
+  logEvent(LogLevel::Info, "upstream_changed",
+           {{"upstream", upstream->entry.id},
+            {"change", "left"},
+            {"why", "stated in a response"},
+            {"source", source}});
+}
+
+} // namespace
+
+void applyUpstreamStatements(const ResponseInfo &response,
+                             UpstreamState *upstream,
+                             UpstreamRegistry *registry, TimePoint now) {
+  if (response.isMisdirected)
+    return;
+  if (response.isLeaving)
+    markLeaving(upstream, registry, "response");
+  if (response.refusesFor <= Duration(0))
+    return;
+  upstream->refusesUntil =
+      std::max(upstream->refusesUntil, now + response.refusesFor);
+  logEvent(LogLevel::Info, "upstream_refuses",
+           {{"upstream", upstream->entry.id},
+            {"ms", toMillis(response.refusesFor)}});
+}
+
+void applyUpstreamNotice(const UpstreamNotice &notice, const std::string &from,
+                         UpstreamRegistry *registry, TimePoint now) {
+  const UpstreamStatePtr upstream = registry->byId(notice.upstream);
+  if (!upstream || upstream->entry.startedAtMillis != notice.startedAtMillis)
+    return;
+  if (notice.refusesFor > Duration(0))
+    upstream->refusesPeersUntil =
+        std::max(upstream->refusesPeersUntil, now + notice.refusesFor);
+  if (notice.isLeaving)
+    markLeaving(upstream.get(), registry, from);
+}
+
+} // namespace auburnspring
--- a/src/auburnspring/wire/peer_codec.cpp
+++ b/src/auburnspring/wire/peer_codec.cpp
@@ -153,22 +153,44 @@
   return reply;
 }
 
+/// Adds the fields of a version to those of a message. Hosts of an earlier
+/// release send and read the revision alone, which is correct in era 0.
+nlohmann::json withVersion(nlohmann::json fields, const StoreVersion &version) {
+  fields["rev"] = version.revision;
+  fields["era"] = version.era;
+  return fields;
+}
+
+StoreVersion readStoreVersion(const nlohmann::json &json) {
+  return {json.value<std::int64_t>("era", 0),
+          json.at("rev").get<std::int64_t>()};
+}
+
 nlohmann::json toJson(const HostHeartbeat &heartbeat) {
   nlohmann::json loads = nlohmann::json::array();
   for (const UpstreamLoad &load : heartbeat.loads)
     loads.push_back({load.upstream, load.inFlight, load.prefillTokens,
                      load.reservedTokens});
-  return {{"rev", heartbeat.storeRevision},
-          {"store", heartbeat.storeReachable},
-          {"leaving", heartbeat.isLeaving},
-          {"loads", std::move(loads)}};
+  nlohmann::json notices = nlohmann::json::array();
+  for (const UpstreamNotice &notice : heartbeat.notices)
+    notices.push_back({notice.upstream, notice.startedAtMillis,
+                       notice.isLeaving, notice.refusesFor.count()});
+  return withVersion({{"age", heartbeat.storeVersionAge.count()},
+                      {"store", heartbeat.storeReachable},
+                      {"leaving", heartbeat.isLeaving},
+                      {"config", heartbeat.configurationVersion},
+                      {"loads", std::move(loads)},
+                      {"notices", std::move(notices)}},
+                     heartbeat.storeVersion);
 }
 
 HostHeartbeat readHeartbeat(const nlohmann::json &json) {
   HostHeartbeat heartbeat;
-  heartbeat.storeRevision = json.at("rev").get<std::int64_t>();
+  heartbeat.storeVersion = readStoreVersion(json);
+  heartbeat.storeVersionAge = Duration(json.value<std::int64_t>("age", 0));
   heartbeat.storeReachable = json.at("store").get<bool>();
   heartbeat.isLeaving = json.at("leaving").get<bool>();
+  heartbeat.configurationVersion = json.value<std::int64_t>("config", 0);
   for (const nlohmann::json &load : json.at("loads")) {
     if (heartbeat.loads.size() >= MaxGossipEntries)
       break;
@@ -176,6 +198,14 @@
         {load.at(0).get<std::string>(), load.at(1).get<std::int64_t>(),
          load.at(2).get<std::int64_t>(), load.at(3).get<std::int64_t>()});
   }
+  for (const nlohmann::json &notice :
+       json.value("notices", nlohmann::json::array())) {
+    if (heartbeat.notices.size() >= MaxGossipEntries)
+      break;
+    heartbeat.notices.push_back(
+        {notice.at(0).get<std::string>(), notice.at(1).get<std::int64_t>(),
+         notice.at(2).get<bool>(), Duration(notice.at(3).get<std::int64_t>())});
+  }
   return heartbeat;
 }
 
@@ -264,11 +294,21 @@
 }
 
 nlohmann::json toJson(const ReplicaRequest &request) {
-  return {{"rev", request.revision}};
+  return withVersion(nlohmann::json::object(), request.version);
 }
 
-nlohmann::json toJson(const StoreRevisionUpdate &update) {
-  return {{"rev", update.revision}};
+nlohmann::json toJson(const StoreVersionUpdate &update) {
+  return withVersion(nlohmann::json::object({{"age", update.age.count()}}),
+                     update.version);
+}
+
+nlohmann::json toJson(const OperatorConfigurationRequest &) {
+  return nlohmann::json::object();
+}
+
+nlohmann::json toJson(const OperatorConfigurationReply &reply) {
+  return {{"value",
+           nlohmann::json::binary({reply.value.begin(), reply.value.end()})}};
 }
 
 nlohmann::json toJson(const ReplicaReply &reply) {
@@ -278,17 +318,17 @@
         {change.key,
          nlohmann::json::binary({change.value.begin(), change.value.end()}),
          change.revision, change.removed});
-  return {{"whole", reply.isSnapshot},
-          {"steady", reply.removalsAreConfirmed},
-          {"rev", reply.revision},
-          {"changes", std::move(changes)}};
+  return withVersion({{"whole", reply.isSnapshot},
+                      {"steady", reply.removalsAreConfirmed},
+                      {"changes", std::move(changes)}},
+                     reply.version);
 }
 
 ReplicaReply readReplicaReply(const nlohmann::json &json) {
   ReplicaReply reply;
   reply.isSnapshot = json.at("whole").get<bool>();
   reply.removalsAreConfirmed = json.at("steady").get<bool>();
-  reply.revision = json.at("rev").get<std::int64_t>();
+  reply.version = readStoreVersion(json);
   for (const nlohmann::json &fields : json.at("changes")) {
     const auto &value = fields.at(1).get_binary();
     reply.changes.push_back({fields.at(0).get<std::string>(),
@@ -299,6 +339,12 @@
   return reply;
 }
 
+OperatorConfigurationReply
+readOperatorConfigurationReply(const nlohmann::json &json) {
+  const auto &value = json.at("value").get_binary();
+  return {std::string(value.begin(), value.end())};
+}
+
 absl::StatusOr<PeerMessage> readMessage(std::size_t kind,
                                         const nlohmann::json &json) {
   switch (kind) {
@@ -331,11 +377,16 @@
   case 11:
     return PeerMessage(BatcherProbe{json.at("answer").get<bool>()});
   case 12:
-    return PeerMessage(ReplicaRequest{json.at("rev").get<std::int64_t>()});
+    return PeerMessage(ReplicaRequest{readStoreVersion(json)});
   case 13:
     return PeerMessage(readReplicaReply(json));
   case 14:
-    return PeerMessage(StoreRevisionUpdate{json.at("rev").get<std::int64_t>()});
+    return PeerMessage(StoreVersionUpdate{
+        readStoreVersion(json), Duration(json.value<std::int64_t>("age", 0))});
+  case 15:
+    return PeerMessage(OperatorConfigurationRequest{});
+  case 16:
+    return PeerMessage(readOperatorConfigurationReply(json));
   default:
     return absl::UnimplementedError(
         absl::StrCat("unknown peer message kind ", kind));
