Pools are batched by large hosts; batching costs less per job

Cause: on the large deployment 277 of 295 hosts have 0.12 of a processor. What a batching host does per dispatch also grew with upstreams times jobs. Change: only hosts with half the processor of the largest are eligible, in a module of its own. The batcher counts queued pieces once per choice of an upstream, keeps held results in one table, finds fetched inputs in order of time and scans for expired results ten times less often; reserved result memory is released with the call's own bytes (it stayed reserved when a request had ended). The registry finds upstreams by address and id in a table.

--- a/include/auburnspring/decision/piece_batcher.h
+++ b/include/auburnspring/decision/piece_batcher.h
@@ -7,9 +7,12 @@
 #include "auburnspring/decision/upstream_state.h"
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
+#include <unordered_map>
 #include <utility>
 #include <vector>
 
@@ -128,6 +131,8 @@
     JobKey jobKey;
     std::uint32_t attempt;
     std::uint32_t piece;
+    /// Reserved result memory at the upstream.
+    std::int64_t resultBytes;
   };
 
   struct Call {
@@ -139,10 +144,24 @@
   };
 
   struct HeldResult {
+    std::string upstreamKey;
     std::int64_t bytes = 0;
     TimePoint receivedAt;
   };
 
+  /// Queued pieces by where they may run now.
+  struct QueuedPieces {
+    std::size_t anywhere = 0;
+    std::map<std::string, std::size_t> byDataCentre;
+  };
+
+  /// A job all of whose pieces will have fetched their inputs at `dueAt`,
+  /// unless pieces are sent again.
+  struct PendingFetch {
+    TimePoint dueAt;
+    JobKey jobKey;
+  };
+
   struct Upstream {
     UpstreamStatePtr state;
     std::int64_t calls = 0;
@@ -154,7 +173,6 @@
     /// inputs that were gone.
     std::optional<TimePoint> lastDelayAt;
     TimePoint pausedUntil;
-    std::map<std::string, HeldResult> heldResults;
     std::int64_t heldBytes = 0;
     std::int64_t reservedBytes = 0;
     /// Bytes held on behalf of the previous batching host, and when they were
@@ -173,7 +191,9 @@
   static bool isLocal(const JobState &job, const Upstream &upstream);
   bool mayRunAt(const JobState &job, const Upstream &upstream,
                 TimePoint now) const;
-  bool hasUsableUpstreamIn(const std::string &dataCentre, TimePoint now) const;
+  bool mayRunRemotely(const JobState &job, TimePoint now) const;
+  void findUsableDataCentres(TimePoint now);
+  QueuedPieces countQueuedPieces(TimePoint now) const;
   bool canTakeCall(const Upstream &upstream, TimePoint now) const;
   std::int64_t freeResultBytes(const Upstream &upstream, TimePoint now) const;
   bool canMeetTarget(const JobState &job, TimePoint now) const;
@@ -193,6 +213,7 @@
   void storeResult(const CallItem &item, const std::string &handle,
                    Upstream *upstream, TimePoint now);
   void expireResults(TimePoint now);
+  void dropHeldResult(const HeldResult &result);
   void runMaintenance(TimePoint now);
   void eraseJob(std::map<JobKey, JobState>::iterator job);
   void finishJob(const JobKey &key, JobStatus status);
@@ -202,12 +223,20 @@
   std::map<std::string, Upstream> upstreams_;
   std::map<JobKey, JobState> jobs_;
   std::map<std::uint64_t, Call> calls_;
+  /// Results that occupy memory at their upstream, by handle.
+  std::unordered_map<std::string, HeldResult> heldResults_;
+  /// Ordered by time.
+  std::deque<PendingFetch> pendingFetches_;
+  /// Data centres with an upstream that takes new calls at full speed, as of
+  /// the last dispatch.
+  std::set<std::string> usableDataCentres_;
   std::vector<JobOutcome> outcomes_;
   std::vector<std::string> unclaimedResults_;
   std::uint64_t nextBatch_ = 1;
   double averageBatchSize_ = 1;
   std::size_t queuedPieces_ = 0;
   TimePoint lastMaintenanceAt_;
+  TimePoint lastExpiryAt_;
   Duration lastBacklog_{0};
   TimePoint lastDispatchAt_;
 };
--- a/include/auburnspring/decision/upstream_registry.h
+++ b/include/auburnspring/decision/upstream_registry.h
@@ -92,10 +92,16 @@
   bool storeUnavailable_ = false;
   TimePoint storeAvailableSince_;
   std::uint64_t version_ = 0;
-  /// Upstreams by pool as of `poolsVersion_`, so that a request scans only its
-  /// own pool.
-  mutable std::unordered_map<std::string, std::vector<UpstreamStatePtr>> pools_;
-  mutable std::uint64_t poolsVersion_ = 0;
+  /// Derived from `byKey_` at a version, so that a request scans only its own
+  /// pool.
+  struct Index {
+    std::uint64_t version = 0;
+    std::unordered_map<std::string, std::vector<UpstreamStatePtr>> pools;
+    std::unordered_map<std::string, UpstreamStatePtr> byEndpoint;
+    std::unordered_map<std::string, UpstreamStatePtr> byId;
+  };
+  const Index &index() const;
+  mutable Index index_;
 };
 
 } // namespace auburnspring
--- a/include/auburnspring/serving/peer_network.h
+++ b/include/auburnspring/serving/peer_network.h
@@ -60,9 +60,9 @@
   bool isReachable(const std::string &host, TimePoint now) const;
   std::optional<TimePoint> lastMessageAt(const std::string &host) const;
 
-  /// Available host that owns a key by weighted rendezvous hashing, with
-  /// weights by processor share; this host if there is no other.
-  std::string hostForKey(const std::string &key, TimePoint now) const;
+  /// Available host that forms the batches of a pool; this host if there is no
+  /// other.
+  std::string batchingHost(const std::string &pool, TimePoint now) const;
 
   void send(const std::string &host, PeerMessage message);
   /// Sends to at most `fanout` peers: the successors of this host in the order
--- a/src/auburnspring/decision/piece_batcher.cpp
+++ b/src/auburnspring/decision/piece_batcher.cpp
@@ -40,6 +40,7 @@
 /// Interval of the scans for late jobs, overdue calls and expired results. It
 /// bounds their cost when there are many jobs.
 constexpr Duration MaintenanceInterval = std::chrono::milliseconds(10);
+constexpr Duration ExpiryInterval = std::chrono::milliseconds(100);
 /// Longest time between two dispatches while there are jobs.
 constexpr Duration PollInterval = std::chrono::milliseconds(25);
 /// A job fails after more than this many failures of its pieces.
@@ -153,14 +154,12 @@
          now >= upstream.pausedUntil;
 }
 
-bool PieceBatcher::hasUsableUpstreamIn(const std::string &dataCentre,
-                                       TimePoint now) const {
-  return std::any_of(
-      upstreams_.begin(), upstreams_.end(), [&](const auto &entry) {
-        return entry.second.state->entry.dataCentre == dataCentre &&
-               entry.second.state->acceptsWork(now) &&
-               entry.second.slowdownRatio < SlowThreshold;
-      });
+void PieceBatcher::findUsableDataCentres(TimePoint now) {
+  usableDataCentres_.clear();
+  for (const auto &entry : upstreams_)
+    if (entry.second.state->acceptsWork(now) &&
+        entry.second.slowdownRatio < SlowThreshold)
+      usableDataCentres_.insert(entry.second.state->entry.dataCentre);
 }
 
 bool PieceBatcher::mayQueueCalls(const Upstream &upstream, TimePoint now) {
@@ -173,44 +172,67 @@
   return preferred.empty() || preferred == upstream.state->entry.dataCentre;
 }
 
-bool PieceBatcher::mayRunAt(const JobState &job, const Upstream &upstream,
-                            TimePoint now) const {
-  if (isLocal(job, upstream))
-    return true;
+bool PieceBatcher::mayRunRemotely(const JobState &job, TimePoint now) const {
   const Duration slack =
       job.spec.targetTime - now -
       expectedCallTime(static_cast<std::size_t>(averageBatchSize_));
   const Duration wait = std::min(MaxLocalWait, slack / LocalWaitSlackDivisor);
   return now >= job.submittedAt + wait ||
-         !hasUsableUpstreamIn(job.spec.preferredDataCentre, now);
+         usableDataCentres_.count(job.spec.preferredDataCentre) == 0;
+}
+
+bool PieceBatcher::mayRunAt(const JobState &job, const Upstream &upstream,
+                            TimePoint now) const {
+  return isLocal(job, upstream) || mayRunRemotely(job, now);
+}
+
+PieceBatcher::QueuedPieces
+PieceBatcher::countQueuedPieces(TimePoint now) const {
+  QueuedPieces queued;
+  for (const auto &entry : jobs_) {
+    const JobState &job = entry.second;
+    const std::string &preferred = job.spec.preferredDataCentre;
+    if (preferred.empty() || mayRunRemotely(job, now))
+      queued.anywhere += job.queued.size();
+    else
+      queued.byDataCentre[preferred] += job.queued.size();
+  }
+  return queued;
 }
 
 PieceBatcher::Upstream *PieceBatcher::pickUpstream(TimePoint now) {
-  Upstream *best = nullptr;
-  std::size_t bestPieces = 0;
+  const bool isOverloaded =
+      queuedPieces_ >= static_cast<std::size_t>(limits_.batch) * 4;
+  std::vector<Upstream *> candidates;
   for (auto &entry : upstreams_) {
     Upstream &upstream = entry.second;
     if (!canTakeCall(upstream, now))
       continue;
-    const bool isOverloaded =
-        queuedPieces_ >= static_cast<std::size_t>(limits_.batch) * 4;
     // With this many pieces queued, any upstream gets a full batch.
     if (isOverloaded && upstream.slowdownRatio < SlowThreshold)
       return &upstream;
     // Slow upstreams are only probed.
-    if (upstream.slowdownRatio >= SlowThreshold &&
-        now < upstream.lastCallAt + SlowProbeInterval)
-      continue;
-    std::size_t pieces = 0;
-    for (const auto &job : jobs_)
-      if (!job.second.queued.empty() && mayRunAt(job.second, upstream, now))
-        pieces += job.second.queued.size();
+    if (upstream.slowdownRatio < SlowThreshold ||
+        now >= upstream.lastCallAt + SlowProbeInterval)
+      candidates.push_back(&upstream);
+  }
+  if (candidates.empty())
+    return nullptr;
+  const QueuedPieces queued = countQueuedPieces(now);
+  Upstream *best = nullptr;
+  std::size_t bestPieces = 0;
+  for (Upstream *upstream : candidates) {
+    const auto local =
+        queued.byDataCentre.find(upstream->state->entry.dataCentre);
+    const std::size_t pieces =
+        queued.anywhere +
+        (local == queued.byDataCentre.end() ? 0 : local->second);
     const bool isBetter =
         pieces > bestPieces || (pieces == bestPieces && best != nullptr &&
-                                upstream.heldBytes < best->heldBytes);
+                                upstream->heldBytes < best->heldBytes);
     if (pieces == 0 || !isBetter)
       continue;
-    best = &upstream;
+    best = upstream;
     bestPieces = pieces;
   }
   return best;
@@ -283,12 +305,15 @@
     batch->items.push_back({job->spec.requestId, job->spec.stage, piece,
                             job->spec.deadline - now, job->spec.key,
                             job->spec.inputs});
-    call->items.push_back({keyOf(job->spec), job->spec.attempt, piece});
+    call->items.push_back(
+        {keyOf(job->spec), job->spec.attempt, piece, job->spec.resultBytes});
     upstream->reservedBytes += job->spec.resultBytes;
     if (!isLocal(*job, *upstream))
       ++batch->remotePieces;
   }
   job->lastSentAt = now;
+  if (job->spec.hasExclusiveInputs)
+    pendingFetches_.push_back({now + InputFetchTime, keyOf(job->spec)});
   job->mayFetchLate = job->mayFetchLate || mayQueueCalls(*upstream, now);
 }
 
@@ -393,12 +418,16 @@
   lastMaintenanceAt_ = now;
   dropUnattainable(now);
   requeueOverdue(now);
+  if (now < lastExpiryAt_ + ExpiryInterval)
+    return;
+  lastExpiryAt_ = now;
   expireResults(now);
 }
 
 std::vector<PieceBatch> PieceBatcher::dispatch(TimePoint now) {
   std::vector<PieceBatch> batches;
   runMaintenance(now);
+  findUsableDataCentres(now);
   while (queuedPieces_ > 0) {
     const bool hasFullBatch =
         queuedPieces_ >= static_cast<std::size_t>(limits_.batch);
@@ -448,13 +477,8 @@
   Upstream *upstream = it == upstreams_.end() ? nullptr : &it->second;
   if (upstream != nullptr) {
     --upstream->calls;
-    for (const CallItem &item : call.items) {
-      const auto job = jobs_.find(item.jobKey);
-      if (job != jobs_.end())
-        upstream->reservedBytes -= job->second.spec.resultBytes;
-    }
-    if (upstream->calls == 0)
-      upstream->reservedBytes = 0;
+    for (const CallItem &item : call.items)
+      upstream->reservedBytes -= item.resultBytes;
   }
   if (status == BatchStatus::Responded && results.size() == call.items.size()) {
     if (upstream != nullptr) {
@@ -521,7 +545,8 @@
   }
   JobState &job = found->second;
   if (upstream != nullptr) {
-    upstream->heldResults[handle] = {job.spec.resultBytes, now};
+    heldResults_[handle] = {incarnationKey(*upstream->state),
+                            job.spec.resultBytes, now};
     upstream->heldBytes += job.spec.resultBytes;
   }
   job.results[item.piece] = handle;
@@ -560,30 +585,31 @@
   outcomes_.push_back(std::move(outcome));
 }
 
+void PieceBatcher::dropHeldResult(const HeldResult &result) {
+  const auto upstream = upstreams_.find(result.upstreamKey);
+  if (upstream != upstreams_.end())
+    upstream->second.heldBytes -= result.bytes;
+}
+
 void PieceBatcher::expireResults(TimePoint now) {
-  for (auto &entry : upstreams_) {
-    Upstream &upstream = entry.second;
-    for (auto it = upstream.heldResults.begin();
-         it != upstream.heldResults.end();) {
-      if (now < it->second.receivedAt + limits_.resultTtl) {
-        ++it;
-        continue;
-      }
-      upstream.heldBytes -= it->second.bytes;
-      it = upstream.heldResults.erase(it);
+  for (auto it = heldResults_.begin(); it != heldResults_.end();) {
+    if (now < it->second.receivedAt + limits_.resultTtl) {
+      ++it;
+      continue;
     }
+    dropHeldResult(it->second);
+    it = heldResults_.erase(it);
   }
 }
 
 void PieceBatcher::release(const std::vector<std::string> &handles) {
-  for (auto &entry : upstreams_)
-    for (const std::string &handle : handles) {
-      const auto held = entry.second.heldResults.find(handle);
-      if (held == entry.second.heldResults.end())
-        continue;
-      entry.second.heldBytes -= held->second.bytes;
-      entry.second.heldResults.erase(held);
-    }
+  for (const std::string &handle : handles) {
+    const auto held = heldResults_.find(handle);
+    if (held == heldResults_.end())
+      continue;
+    dropHeldResult(held->second);
+    heldResults_.erase(held);
+  }
 }
 
 bool PieceBatcher::isFullyQueued(const JobState &job) {
@@ -652,10 +678,14 @@
 
 std::vector<std::string> PieceBatcher::takeFetchedInputs(TimePoint now) {
   std::vector<std::string> fetched;
-  for (auto &entry : jobs_) {
-    JobState &job = entry.second;
-    if (!job.spec.hasExclusiveInputs || job.inputsFreed || job.mayFetchLate ||
-        !job.queued.empty() || now < job.lastSentAt + InputFetchTime)
+  for (; !pendingFetches_.empty() && pendingFetches_.front().dueAt <= now;
+       pendingFetches_.pop_front()) {
+    const auto found = jobs_.find(pendingFetches_.front().jobKey);
+    if (found == jobs_.end())
+      continue;
+    JobState &job = found->second;
+    if (job.inputsFreed || job.mayFetchLate || !job.queued.empty() ||
+        now < job.lastSentAt + InputFetchTime)
       continue;
     job.inputsFreed = true;
     fetched.insert(fetched.end(), job.spec.inputs.begin(),
--- a/src/auburnspring/decision/piece_batcher_test.cpp
+++ b/src/auburnspring/decision/piece_batcher_test.cpp
@@ -310,6 +310,36 @@
   REQUIRE(batcher.takeOutcomes().size() == 1);
 }
 
+TEST_CASE("pattern: requests given up while their calls run leave no memory "
+          "reserved") {
+  BatchLimits small = limits();
+  small.resultMemoryBytes = 4000000;
+  small.slots = 2;
+  PieceBatcher batcher("stock");
+  batcher.setLimits(small);
+  batcher.setUpstreams(upstreams(1));
+  StageJob first = job("gone", 2, 9000);
+  StageJob second = job("kept", 1, 9000);
+  first.resultBytes = second.resultBytes = 1000000;
+  batcher.submit(first, at(1000));
+  const auto gone = batcher.dispatch(at(1000));
+  REQUIRE(gone.size() == 1);
+  batcher.submit(second, at(1300));
+  REQUIRE(batcher.dispatch(at(1300)).size() == 1);
+  // The first request ends; its call's results are freed. The other call is
+  // still in progress.
+  batcher.cancelJobs("h", "gone");
+  batcher.onBatchEnd(gone[0].number, BatchStatus::Responded, allDone(gone[0]),
+                     at(1310));
+  CHECK(batcher.takeUnclaimedResults().size() == 2);
+  StageJob third = job("next", 2, 9000);
+  third.resultBytes = 1000000;
+  batcher.submit(third, at(1700));
+  const auto next = batcher.dispatch(at(1700));
+  REQUIRE(next.size() == 1);
+  CHECK(next[0].items.size() == 2);
+}
+
 TEST_CASE("a stopping host hands over jobs that are not in a call") {
   PieceBatcher previous = makeBatcher(2);
   previous.submit(job("a", 2), at(1000));
--- a/src/auburnspring/decision/upstream_registry.cpp
+++ b/src/auburnspring/decision/upstream_registry.cpp
@@ -132,31 +132,39 @@
   return removed;
 }
 
+const UpstreamRegistry::Index &UpstreamRegistry::index() const {
+  if (index_.version == version_)
+    return index_;
+  index_ = Index();
+  index_.version = version_;
+  for (const auto &entry : byKey_) {
+    const UpstreamStatePtr &upstream = entry.second;
+    index_.byEndpoint.emplace(toString(upstream->entry.endpoint), upstream);
+    index_.byId.emplace(upstream->entry.id, upstream);
+    if (!upstream->isLeaving)
+      index_.pools[upstream->entry.pool].push_back(upstream);
+  }
+  return index_;
+}
+
 const std::vector<UpstreamStatePtr> &
 UpstreamRegistry::pool(const std::string &name) const {
-  if (poolsVersion_ != version_) {
-    pools_.clear();
-    for (const auto &entry : byKey_)
-      if (!entry.second->isLeaving)
-        pools_[entry.second->entry.pool].push_back(entry.second);
-    poolsVersion_ = version_;
-  }
-  return pools_[name];
+  static const std::vector<UpstreamStatePtr> Empty;
+  const Index &current = index();
+  const auto found = current.pools.find(name);
+  return found == current.pools.end() ? Empty : found->second;
 }
 
 UpstreamStatePtr UpstreamRegistry::byEndpoint(const Endpoint &endpoint) const {
-  for (const auto &entry : byKey_)
-    if (entry.second->entry.endpoint.ip == endpoint.ip &&
-        entry.second->entry.endpoint.port == endpoint.port)
-      return entry.second;
-  return nullptr;
+  const Index &current = index();
+  const auto found = current.byEndpoint.find(toString(endpoint));
+  return found == current.byEndpoint.end() ? nullptr : found->second;
 }
 
 UpstreamStatePtr UpstreamRegistry::byId(const std::string &id) const {
-  for (const auto &entry : byKey_)
-    if (entry.second->entry.id == id)
-      return entry.second;
-  return nullptr;
+  const Index &current = index();
+  const auto found = current.byId.find(id);
+  return found == current.byId.end() ? nullptr : found->second;
 }
 
 } // namespace auburnspring
--- a/src/auburnspring/serving/peer_network.cpp
+++ b/src/auburnspring/serving/peer_network.cpp
@@ -2,13 +2,10 @@
 
 #include "auburnspring/base/clock.h"
 #include "auburnspring/base/log.h"
-#include "auburnspring/decision/rendezvous.h"
+#include "auburnspring/decision/batching_host.h"
 
 #include <asio/post.hpp>
 
-#include <cmath>
-#include <limits>
-
 namespace auburnspring {
 
 namespace {
@@ -30,9 +27,6 @@
 /// A batching host responds to every other host. The bound is well below a
 /// process's limit of file descriptors.
 constexpr std::size_t MaxPeerConnections = 512;
-/// A host with twice the processors owns eight times as many keys, since the
-/// requests that it serves leave it more than twice the spare capacity.
-constexpr double CapacityExponent = 3;
 
 PeerMesh::Options meshOptions(const PeerNetwork::Options &network,
                               PeerNetwork::DisconnectHandler onConnectionLost) {
@@ -177,22 +171,17 @@
   return found->second.lastMessageAt;
 }
 
-std::string PeerNetwork::hostForKey(const std::string &key,
-                                    TimePoint now) const {
-  std::string best = options_.host;
-  double bestScore = -std::numeric_limits<double>::infinity();
-  for (const std::string &host : availableHosts(now)) {
-    const auto peer = peers_.find(host);
-    const double share = peer == peers_.end() ? options_.processorShare
-                                              : peer->second.processorShare;
-    const double score =
-        weightedRendezvousScore(key, host, std::pow(share, CapacityExponent));
-    if (score <= bestScore)
-      continue;
-    bestScore = score;
-    best = host;
-  }
-  return best;
+std::string PeerNetwork::batchingHost(const std::string &pool,
+                                      TimePoint now) const {
+  std::vector<BatchingCandidate> candidates;
+  candidates.reserve(peers_.size() + 1);
+  if (!selfLeaving_)
+    candidates.push_back({options_.host, options_.processorShare});
+  for (const auto &entry : peers_)
+    if (isAvailable(entry.second, now))
+      candidates.push_back({entry.first, entry.second.processorShare});
+  const std::string_view chosen = chooseBatchingHost(pool, candidates);
+  return chosen.empty() ? options_.host : std::string(chosen);
 }
 
 void PeerNetwork::send(const std::string &host, PeerMessage message) {
--- a/src/auburnspring/serving/piece_dispatcher.cpp
+++ b/src/auburnspring/serving/piece_dispatcher.cpp
@@ -44,7 +44,7 @@
   OutstandingJob &entry = outstanding_[key];
   entry = {std::move(job), "", TimePoint(), std::move(onOutcome)};
   const TimePoint now = steadyNow();
-  assign(&entry, peers_->hostForKey(entry.job.pool, now), now);
+  assign(&entry, peers_->batchingHost(entry.job.pool, now), now);
 }
 
 void PieceDispatcher::assign(OutstandingJob *entry,
@@ -82,7 +82,7 @@
                               std::vector<std::string> results) {
   if (results.empty())
     return;
-  const std::string batchingHost = peers_->hostForKey(pool, steadyNow());
+  const std::string batchingHost = peers_->batchingHost(pool, steadyNow());
   ResultRelease message{pool, std::move(results)};
   if (batchingHost == peers_->self())
     return onRelease(message);
@@ -92,7 +92,7 @@
 void PieceDispatcher::transferJobs() {
   const TimePoint now = steadyNow();
   for (auto &entry : poolBatchers_) {
-    const std::string next = peers_->hostForKey(entry.first, now);
+    const std::string next = peers_->batchingHost(entry.first, now);
     if (next != peers_->self())
       transferJobs(entry.second.get(), next, now);
   }
@@ -119,7 +119,7 @@
 void PieceDispatcher::transferReassigned(TimePoint now) {
   for (auto &entry : poolBatchers_) {
     PoolBatcher *poolBatcher = entry.second.get();
-    const std::string next = peers_->hostForKey(entry.first, now);
+    const std::string next = peers_->batchingHost(entry.first, now);
     if (next == peers_->self()) {
       poolBatcher->reassignedSince.reset();
     } else if (!poolBatcher->reassignedSince) {
@@ -447,7 +447,7 @@
     assign(&entry,
            peers_->isReachable(entry.batchingHost, now)
                ? entry.batchingHost
-               : peers_->hostForKey(entry.job.pool, now),
+               : peers_->batchingHost(entry.job.pool, now),
            now);
   }
 }
