Fewer calls to the store in large fleets; engines by measured speed, long prompts apart

Of survey drafts 15 % were late although their first event came in time: a prompt of 20,000 tokens and more fills every step of its engine for longer than the 400 ms that the other streams there may pause. Change: a first read may be stale, the watch that follows brings it up to date; leases last 10 s and are renewed every 4.5; watches of a large fleet are a second apart; a poll that fails renews at once, and a store that confirmed nothing for 2.5 s counts as having been away, so that entries that expired meanwhile keep their grace. Suspicion of a silent peer doubles; peers that left are forgotten and no longer count in the retry slack. EngineSpeedEstimator learns the rate of each pool by regression; a prompt whose prefill takes 0.6 of the event gap goes to an eighth of the engines, which others avoid, chosen alike by all hosts. A reload applies the log level. Ruled out: a lease that grows with the fleet (a host does not know the fleet's size when it registers, and registering again costs more than it saves).

--- a/include/auburnspring/decision/placement.h
+++ b/include/auburnspring/decision/placement.h
@@ -1,6 +1,7 @@
 #ifndef AUBURNSPRING_DECISION_PLACEMENT_H
 #define AUBURNSPRING_DECISION_PLACEMENT_H
 
+#include "auburnspring/decision/engine_speed.h"
 #include "auburnspring/decision/routing_table.h"
 #include "auburnspring/decision/upstream_state.h"
 
@@ -29,6 +30,18 @@
   absl::Span<const std::string> avoid;
   /// Data centre of each stage result that the upstream will fetch.
   absl::Span<const std::string> inputDataCentres;
+  /// Speed at which the engines of the pool prefill.
+  double prefillMillisPerToken = EngineSpeedEstimator::InitialMillisPerToken;
+  /// Longest pause between events that the streams of the pool tolerate; 0 if
+  /// they have no such target.
+  Duration eventGap{0};
+};
+
+/// The engine for a request, and the prompt tokens that it will have to prefill
+/// before the request's first event.
+struct EngineChoice {
+  UpstreamStatePtr engine;
+  std::int64_t pendingTokens = 0;
 };
 
 /// Chooses among upstreams that are not model engines: the one of two random
@@ -40,11 +53,21 @@
 
 /// Chooses the model engine with the lowest expected time to the first event.
 /// Prompts that share parts go to the same few engines, until those are busier
-/// than others. Null if there is no candidate.
-UpstreamStatePtr placeOnEngine(absl::Span<const UpstreamStatePtr> upstreams,
-                               const EngineLimits &limits,
-                               const PlacementRequest &request, TimePoint now,
-                               std::mt19937_64 *random);
+/// than others. A prompt whose prefill would pause the streams of an engine for
+/// longer than they tolerate goes to a few engines that other requests avoid.
+/// The engine is null if there is no candidate.
+EngineChoice chooseEngine(absl::Span<const UpstreamStatePtr> upstreams,
+                          const EngineLimits &limits,
+                          const PlacementRequest &request, TimePoint now,
+                          std::mt19937_64 *random);
+
+/// The engine of chooseEngine().
+inline UpstreamStatePtr
+placeOnEngine(absl::Span<const UpstreamStatePtr> upstreams,
+              const EngineLimits &limits, const PlacementRequest &request,
+              TimePoint now, std::mt19937_64 *random) {
+  return chooseEngine(upstreams, limits, request, now, random).engine;
+}
 
 /// Attempts in progress of this host and, as recently reported, of its peers.
 std::int64_t attemptsAt(const UpstreamState &upstream, TimePoint now);
--- a/include/auburnspring/decision/store_watcher_selector.h
+++ b/include/auburnspring/decision/store_watcher_selector.h
@@ -43,6 +43,12 @@
   /// gets no response.
   static constexpr Duration FetchRetryInterval = std::chrono::milliseconds(150);
 
+  /// Least time between two watches of a host, by the size of the fleet: a
+  /// burst of changes costs few calls, and a change is noticed at most this
+  /// much later. It stays well below the time within which a change must be in
+  /// force, two seconds in a small fleet and three in a large one.
+  static Duration watchInterval(std::size_t hosts);
+
   struct Host {
     std::string dataCentre;
     double processorShare = 1;
--- a/include/auburnspring/serving/active_request.h
+++ b/include/auburnspring/serving/active_request.h
@@ -59,8 +59,11 @@
 
   // Attempts.
   void dispatch();
-  UpstreamStatePtr selectUpstream(const std::vector<std::string> &inputs);
-  void startAttempt(const UpstreamStatePtr &upstream);
+  EngineChoice selectUpstream(const std::vector<std::string> &inputs);
+  void startAttempt(const EngineChoice &choice);
+  EngineSpeedEstimator &engineSpeed() const {
+    return context_->engineSpeeds[poolName_];
+  }
   ForwardingParams forwardingParams(const UpstreamState &upstream) const;
   void onBody(Attempt *attempt, std::string_view bytes);
   void onEvents(Attempt *attempt, std::string_view bytes);
@@ -100,6 +103,9 @@
   StagePlan plan_;
   TimePoint stagesDoneAt_;
   std::vector<std::unique_ptr<Attempt>> attempts_;
+  /// Prompt tokens that the engine of the latest attempt had to prefill before
+  /// its first event.
+  std::int64_t pendingTokens_ = 0;
   std::vector<std::string> triedUpstreams_;
   /// Attempts that an upstream may have run.
   std::int64_t possibleRuns_ = 0;
--- a/include/auburnspring/serving/metadata_store.h
+++ b/include/auburnspring/serving/metadata_store.h
@@ -37,15 +37,19 @@
 
   virtual void setEraHandler(EraHandler handler) = 0;
 
+  /// Whether a read may return a state of the store that is some seconds old,
+  /// which costs less. Its version says which.
+  enum class ReadMode { Current, MayBeStale };
+
   /// Reads every item whose key has the prefix.
-  virtual void readAll(const std::string &prefix,
+  virtual void readAll(const std::string &prefix, ReadMode mode,
                        Callback<StoreRead> callback) = 0;
   /// Returns the changes after a revision as soon as there is one, or an empty
   /// list after `timeout`.
   virtual void watch(const std::string &prefix, std::int64_t after,
                      Duration timeout, Callback<StoreRead> callback) = 0;
-  /// Returns the changes after a revision at once, or fails within a few hundred
-  /// milliseconds.
+  /// Returns the changes after a revision at once, or fails within a few
+  /// hundred milliseconds.
   virtual void poll(const std::string &prefix, std::int64_t after,
                     Callback<StoreRead> callback) = 0;
   virtual void createLease(Duration ttl, Callback<std::int64_t> callback) = 0;
--- a/include/auburnspring/serving/peer_network.h
+++ b/include/auburnspring/serving/peer_network.h
@@ -49,7 +49,7 @@
   void setLeaving(const std::string &host, bool leaving);
 
   /// The host did not respond to a probe: it gets no work until its next
-  /// message, or for a short time if none arrives.
+  /// message, or for a time that doubles while none arrives.
   void suspect(const std::string &host, TimePoint now);
 
   bool isListed(const std::string &host) const;
@@ -71,6 +71,9 @@
 
   const std::string &self() const { return options_.host; }
   std::size_t peerCount() const { return peers_.size(); }
+  /// Forgets hosts that the store has not listed for long and that send no
+  /// messages.
+  void forgetDeparted(TimePoint now);
   PeerMesh::Counters counters() const { return mesh_.counters(); }
 
 private:
@@ -81,6 +84,8 @@
     TimePoint lastMessageAt;
     TimePoint unlistedAt;
     TimePoint suspectUntil;
+    /// Suspicions since the last message.
+    std::int64_t suspicions = 0;
     bool isListed = false;
     bool isLeaving = false;
     bool messageReceived = false;
--- a/include/auburnspring/serving/serving_context.h
+++ b/include/auburnspring/serving/serving_context.h
@@ -2,6 +2,7 @@
 #define AUBURNSPRING_SERVING_SERVING_CONTEXT_H
 
 #include "auburnspring/decision/duration_estimator.h"
+#include "auburnspring/decision/engine_speed.h"
 #include "auburnspring/decision/retry_quota.h"
 #include "auburnspring/decision/routing_table.h"
 #include "auburnspring/decision/upstream_registry.h"
@@ -31,6 +32,8 @@
   ServingMetrics metrics;
   /// Recent time from the submission of a stage to its results, by pool.
   DurationEstimator stageDurations;
+  /// Speed of the engines, by pool.
+  std::unordered_map<std::string, EngineSpeedEstimator> engineSpeeds;
   /// Recent time from the start of an attempt to its first event, less the
   /// expected prefill time, by pool.
   DurationEstimator firstEventDelays;
--- a/include/auburnspring/serving/store_follower.h
+++ b/include/auburnspring/serving/store_follower.h
@@ -89,9 +89,12 @@
   void restartWatch();
   void onRead(const absl::StatusOr<StoreRead> &result);
   void onWatch(const absl::StatusOr<StoreRead> &result);
+  /// Renews the lease at once, to find out whether the store can be reached.
+  void checkReachable();
   StoreUpdate applyWatch(const StoreRead &read);
   void onEra(std::int64_t era, std::string_view source);
   bool hasCurrentSnapshot() const;
+  Duration watchInterval() const;
   void publish(const StoreUpdate &update);
   Duration jittered(Duration duration);
 
@@ -111,8 +114,10 @@
   /// ignored: their lease is gone.
   std::uint64_t registration_ = 0;
   bool registered_ = false;
+  bool renewalPending_ = false;
   bool reachable_ = false;
   bool reachabilityReported_ = false;
+  TimePoint startedAt_;
   TimePoint watchStartedAt_;
   bool watching_ = true;
   /// Number of the latest watch. Responses to older, abandoned watches are
--- a/src/auburnspring/decision/placement.cpp
+++ b/src/auburnspring/decision/placement.cpp
@@ -1,10 +1,11 @@
 #include "auburnspring/decision/placement.h"
 
-#include "auburnspring/decision/engine_speed.h"
 #include "auburnspring/decision/rendezvous.h"
 
 #include <algorithm>
+#include <functional>
 #include <limits>
+#include <utility>
 
 namespace auburnspring {
 
@@ -18,12 +19,26 @@
 constexpr double FullPenaltyMillis = 4000;
 /// Share of an engine's memory that estimates may fill.
 constexpr double MemoryShare = 0.9;
-/// Cost in ms per token of shared parts that an engine must prefill again,
-/// besides its own prefill time, since that delays all other requests there.
-constexpr double CacheMissMillisPerToken = 0.08;
+/// Cost of shared parts that an engine must prefill again, in multiples of
+/// their prefill time and besides it, since that delays all other requests
+/// there.
+constexpr double CacheMissFactor = 8;
 /// Share of that cost at the engine that ranks second: it has probably cached
 /// the parts, from requests that exceeded the capacity of the first.
 constexpr double SecondRankMissShare = 0.5;
+/// Share of the tolerated pause that a prompt may prefill at an engine with
+/// other streams. The rest is left to what else the engine prefills meanwhile.
+constexpr double MaxPauseShare = 0.6;
+/// One in this many engines of a pool takes the prompts above that share, if
+/// the pool is large enough.
+constexpr std::size_t LongPromptEngineDivisor = 8;
+constexpr std::size_t MinPoolForLongPrompts = 4;
+/// Key of the rendezvous hash that selects those engines.
+constexpr std::string_view LongPromptKey = "long-prompts";
+/// Cost of a long prompt at another engine, and of other requests at those for
+/// long prompts, in multiples of the tolerated pause.
+constexpr double LongPromptElsewhereFactor = 2;
+constexpr double OtherAtLongPromptsFactor = 0.5;
 /// Cost in ms of each result that is fetched from another data centre.
 constexpr double CrossDataCentreMillis = 4;
 /// Weight of failures against latency: the cost of an upstream is multiplied by
@@ -87,6 +102,7 @@
 }
 
 struct EngineLoad {
+  std::int64_t prefillTokens = 0;
   double delayMillis = 0;
   bool isFull = false;
 };
@@ -100,8 +116,10 @@
                                          &PeerLoad::reservedTokens);
   const std::int64_t needed = request.promptTokens + request.outputTokens;
   EngineLoad load;
-  load.delayMillis = toMillis(prefillDuration(prefill)) +
-                     static_cast<double>(running) * MillisPerRunningRequest;
+  load.prefillTokens = prefill;
+  load.delayMillis =
+      static_cast<double>(prefill) * request.prefillMillisPerToken +
+      static_cast<double>(running) * MillisPerRunningRequest;
   load.isFull = running >= limits.slots ||
                 static_cast<double>(held + needed) >
                     MemoryShare * static_cast<double>(limits.cacheTokens);
@@ -111,6 +129,54 @@
   return load;
 }
 
+/// Moves the engine that ranks first for the key to the front, and the second
+/// behind it.
+void moveRankedFirst(std::string_view key,
+                     std::vector<UpstreamStatePtr> *engines) {
+  std::vector<std::pair<std::uint64_t, std::size_t>> ranks;
+  ranks.reserve(engines->size());
+  for (std::size_t i = 0; i < engines->size(); ++i)
+    ranks.push_back({rendezvousWeight(key, (*engines)[i]->entry.id), i});
+  const auto top =
+      static_cast<std::ptrdiff_t>(std::min<std::size_t>(2, ranks.size()));
+  std::partial_sort(ranks.begin(), ranks.begin() + top, ranks.end(),
+                    [](const auto &a, const auto &b) { return a > b; });
+  std::swap((*engines)[0], (*engines)[ranks[0].second]);
+  if (top < 2)
+    return;
+  // The first swap may have moved the second.
+  const std::size_t second =
+      ranks[1].second == 0 ? ranks[0].second : ranks[1].second;
+  std::swap((*engines)[1], (*engines)[second]);
+}
+
+/// True if the prompt alone would pause other streams of its engine for longer
+/// than they tolerate.
+bool isLongPrompt(const PlacementRequest &request, std::int64_t sharedTokens) {
+  const double millis =
+      static_cast<double>(request.promptTokens - sharedTokens) *
+      request.prefillMillisPerToken;
+  return request.eventGap > Duration(0) &&
+         millis > MaxPauseShare * toMillis(request.eventGap);
+}
+
+/// Least rendezvous weight of the engines that take long prompts.
+std::uint64_t
+longPromptThreshold(absl::Span<const UpstreamStatePtr> upstreams) {
+  std::vector<std::uint64_t> weights;
+  weights.reserve(upstreams.size());
+  for (const UpstreamStatePtr &upstream : upstreams)
+    if (!upstream->isLeaving)
+      weights.push_back(rendezvousWeight(LongPromptKey, upstream->entry.id));
+  if (weights.size() < MinPoolForLongPrompts)
+    return std::numeric_limits<std::uint64_t>::max();
+  const std::size_t count =
+      std::max<std::size_t>(1, weights.size() / LongPromptEngineDivisor);
+  const auto nth = weights.begin() + static_cast<std::ptrdiff_t>(count - 1);
+  std::nth_element(weights.begin(), nth, weights.end(), std::greater<>());
+  return *nth;
+}
+
 } // namespace
 
 std::int64_t attemptsAt(const UpstreamState &upstream, TimePoint now) {
@@ -130,13 +196,13 @@
   return upstreamCost(*a, now) <= upstreamCost(*b, now) ? a : b;
 }
 
-UpstreamStatePtr placeOnEngine(absl::Span<const UpstreamStatePtr> upstreams,
-                               const EngineLimits &limits,
-                               const PlacementRequest &request, TimePoint now,
-                               std::mt19937_64 *random) {
+EngineChoice chooseEngine(absl::Span<const UpstreamStatePtr> upstreams,
+                          const EngineLimits &limits,
+                          const PlacementRequest &request, TimePoint now,
+                          std::mt19937_64 *random) {
   std::vector<UpstreamStatePtr> found = candidates(upstreams, request, now);
   if (found.empty())
-    return nullptr;
+    return {};
   std::shuffle(found.begin(), found.end(), *random);
   // The last shared part identifies the shared prefix, and thereby the engine
   // that is expected to have it cached.
@@ -147,29 +213,36 @@
     affinityKey = request.prompt[i].id;
   }
   if (!affinityKey.empty())
-    std::sort(found.begin(), found.end(),
-              [&](const UpstreamStatePtr &a, const UpstreamStatePtr &b) {
-                return rendezvousWeight(affinityKey, a->entry.id) >
-                       rendezvousWeight(affinityKey, b->entry.id);
-              });
-  UpstreamStatePtr best;
+    moveRankedFirst(affinityKey, &found);
+  const bool isLong = isLongPrompt(request, sharedTokens);
+  const std::uint64_t longPromptWeight = longPromptThreshold(upstreams);
+  const double pauseMillis = toMillis(request.eventGap);
+  EngineChoice best;
   double bestMillis = std::numeric_limits<double>::max();
   for (std::size_t i = 0; i < found.size(); ++i) {
     const bool isCached = !affinityKey.empty() && i == 0;
     const std::int64_t uncachedTokens =
         request.promptTokens - (isCached ? sharedTokens : 0);
-    double millis = engineLoad(*found[i], limits, request, now).delayMillis +
-                    toMillis(prefillDuration(uncachedTokens));
+    const EngineLoad load = engineLoad(*found[i], limits, request, now);
+    double millis = load.delayMillis + static_cast<double>(uncachedTokens) *
+                                           request.prefillMillisPerToken;
     if (!affinityKey.empty() && !isCached)
-      millis += static_cast<double>(sharedTokens) * CacheMissMillisPerToken *
+      millis += static_cast<double>(sharedTokens) *
+                request.prefillMillisPerToken * CacheMissFactor *
                 (i == 1 ? SecondRankMissShare : 1);
+    const bool isForLongPrompts =
+        rendezvousWeight(LongPromptKey, found[i]->entry.id) >= longPromptWeight;
+    if (isLong && !isForLongPrompts)
+      millis += pauseMillis * LongPromptElsewhereFactor;
+    if (!isLong && isForLongPrompts)
+      millis += pauseMillis * OtherAtLongPromptsFactor;
     for (const std::string &dataCentre : request.inputDataCentres)
       if (dataCentre != found[i]->entry.dataCentre)
         millis += CrossDataCentreMillis;
     if (millis >= bestMillis)
       continue;
     bestMillis = millis;
-    best = found[i];
+    best = {found[i], load.prefillTokens + uncachedTokens};
   }
   return best;
 }
--- a/src/auburnspring/decision/store_watcher_selector.cpp
+++ b/src/auburnspring/decision/store_watcher_selector.cpp
@@ -12,12 +12,20 @@
 /// Makes hosts with a larger processor share watch more often than in
 /// proportion to it: small hosts lack the capacity to send the updates.
 constexpr double CapacityExponent = 3;
+constexpr Duration MinWatchInterval = std::chrono::milliseconds(100);
+constexpr Duration MaxWatchInterval = std::chrono::milliseconds(1000);
+constexpr Duration WatchIntervalPerHost = std::chrono::milliseconds(8);
 
 } // namespace
 
 StoreWatcherSelector::StoreWatcherSelector(std::string self, const Host &host)
     : self_(std::move(self)), host_(host), score_(scoreOf(self_, host)) {}
 
+Duration StoreWatcherSelector::watchInterval(std::size_t hosts) {
+  return std::clamp(WatchIntervalPerHost * static_cast<std::int64_t>(hosts),
+                    MinWatchInterval, MaxWatchInterval);
+}
+
 double StoreWatcherSelector::scoreOf(const std::string &name,
                                      const Host &host) const {
   return weightedRendezvousScore(
--- a/src/auburnspring/decision/store_watcher_selector_test.cpp
+++ b/src/auburnspring/decision/store_watcher_selector_test.cpp
@@ -57,6 +57,18 @@
   CHECK(fleet.selectors.begin()->second.updateRecipients().empty());
 }
 
+TEST_CASE("pattern: hundreds of hosts restart in turn, and the calls of those "
+          "that watch stay few") {
+  CHECK(StoreWatcherSelector::watchInterval(9) ==
+        std::chrono::milliseconds(100));
+  CHECK(StoreWatcherSelector::watchInterval(80) ==
+        std::chrono::milliseconds(640));
+  CHECK(StoreWatcherSelector::watchInterval(300) ==
+        std::chrono::milliseconds(1000));
+  CHECK(StoreWatcherSelector::watchInterval(3000) ==
+        std::chrono::milliseconds(1000));
+}
+
 TEST_CASE("in a large fleet a few hosts of each data centre watch") {
   Fleet fleet(80);
   CHECK(fleet.watchers(at(0)).size() == 80);
--- a/src/auburnspring/serving/active_request_attempts.cpp
+++ b/src/auburnspring/serving/active_request_attempts.cpp
@@ -2,7 +2,6 @@
 
 #include "auburnspring/base/clock.h"
 #include "auburnspring/base/log.h"
-#include "auburnspring/decision/engine_speed.h"
 #include "auburnspring/decision/upstream_health.h"
 #include "auburnspring/serving/upstream_statements.h"
 
@@ -34,7 +33,7 @@
 
 } // namespace
 
-UpstreamStatePtr
+EngineChoice
 ActiveRequest::selectUpstream(const std::vector<std::string> &inputs) {
   PlacementRequest placement;
   placement.prompt = request_.prompt;
@@ -51,10 +50,12 @@
   const std::vector<UpstreamStatePtr> &members =
       context_->registry.pool(poolName_);
   const TimePoint now = steadyNow();
-  return pool_ != nullptr && pool_->engine
-             ? placeOnEngine(members, *pool_->engine, placement, now,
-                             &context_->random)
-             : placeOnUpstream(members, placement, now, &context_->random);
+  if (pool_ == nullptr || !pool_->engine)
+    return {placeOnUpstream(members, placement, now, &context_->random), 0};
+  placement.prefillMillisPerToken = engineSpeed().millisPerToken();
+  placement.eventGap = pool_->eventGap;
+  return chooseEngine(members, *pool_->engine, placement, now,
+                      &context_->random);
 }
 
 void ActiveRequest::dispatch() {
@@ -62,8 +63,8 @@
     return;
   if (timeLeft() < MinAttemptTime)
     return onDeadline();
-  const UpstreamStatePtr upstream = selectUpstream(plan_.finalResults());
-  if (upstream == nullptr) {
+  const EngineChoice choice = selectUpstream(plan_.finalResults());
+  if (choice.engine == nullptr) {
     if (hasLiveAttempt())
       return;
     if (streamStarted_)
@@ -76,7 +77,7 @@
                ? refuse(503, "upstreams_refuse", jittered(refusal))
                : refuse(503, "no_upstream", DefaultRetryAfter);
   }
-  startAttempt(upstream);
+  startAttempt(choice);
 }
 
 ForwardingParams
@@ -90,7 +91,9 @@
   return params;
 }
 
-void ActiveRequest::startAttempt(const UpstreamStatePtr &upstream) {
+void ActiveRequest::startAttempt(const EngineChoice &choice) {
+  const UpstreamStatePtr &upstream = choice.engine;
+  pendingTokens_ = choice.pendingTokens;
   const TimePoint now = steadyNow();
   if (triedUpstreams_.empty())
     context_->retryQuota.recordFirstAttempts(poolName_, 1, now);
@@ -162,7 +165,10 @@
     attempt->notePrefillDone();
     recordResponse(attempt->mutableUpstream(),
                    steadyNow() - attempt->startedAt(), steadyNow());
-    const Duration prefillTime = prefillDuration(request_.promptTokens);
+    if (pool_ != nullptr && pool_->engine)
+      engineSpeed().observe(pendingTokens_, steadyNow() - attempt->startedAt());
+    const Duration prefillTime =
+        engineSpeed().prefillDuration(request_.promptTokens);
     context_->firstEventDelays.observe(
         poolName_,
         std::max(Duration(0), steadyNow() - attempt->startedAt() - prefillTime),
--- a/src/auburnspring/serving/active_request_stages.cpp
+++ b/src/auburnspring/serving/active_request_stages.cpp
@@ -2,7 +2,6 @@
 
 #include "auburnspring/base/clock.h"
 #include "auburnspring/base/log.h"
-#include "auburnspring/decision/engine_speed.h"
 #include "auburnspring/decision/request_value.h"
 
 #include <algorithm>
@@ -78,7 +77,7 @@
 }
 
 Duration ActiveRequest::expectedTimeAfter(std::uint32_t stage) const {
-  const Duration prefill = prefillDuration(request_.promptTokens);
+  const Duration prefill = engineSpeed().prefillDuration(request_.promptTokens);
   const Duration firstEvent =
       std::max(MinFirstEventTime,
                context_->firstEventDelays.estimate(poolName_, steadyNow()));
@@ -137,7 +136,7 @@
   if (!isLast ||
       stages[stage].resultBytes * plan_.pieces(stage) < LargeResultBytes)
     return "";
-  const UpstreamStatePtr engine = selectUpstream({});
+  const UpstreamStatePtr engine = selectUpstream({}).engine;
   return engine == nullptr ? "" : engine->entry.dataCentre;
 }
 
--- a/src/auburnspring/serving/peer_network.cpp
+++ b/src/auburnspring/serving/peer_network.cpp
@@ -6,6 +6,9 @@
 
 #include <asio/post.hpp>
 
+#include <algorithm>
+#include <iterator>
+
 namespace auburnspring {
 
 namespace {
@@ -18,9 +21,13 @@
 /// A newly listed host may not have sent a heartbeat yet.
 constexpr Duration NewPeerGrace = std::chrono::milliseconds(1200);
 constexpr Duration SuspicionDuration = std::chrono::seconds(2);
+constexpr std::int64_t MaxSuspicionDoublings = 2;
 /// A host that the store no longer lists stays available for this time after it
 /// was removed or sent its last message.
 constexpr Duration UnlistedRetention = std::chrono::seconds(3);
+/// A host that left is forgotten after this time without messages: it no longer
+/// counts as a member of the fleet.
+constexpr Duration DepartedRetention = std::chrono::seconds(10);
 constexpr std::chrono::seconds MaxConnectionAge(10);
 /// A connection with unacknowledged bytes for this long is closed.
 constexpr Duration AckTimeout = std::chrono::milliseconds(1500);
@@ -91,6 +98,16 @@
   logEvent(LogLevel::Info, "peer_unlisted", {{"peer", host}});
 }
 
+void PeerNetwork::forgetDeparted(TimePoint now) {
+  for (auto it = peers_.begin(); it != peers_.end();) {
+    const Peer &peer = it->second;
+    const bool isGone =
+        !peer.isListed &&
+        now > std::max(peer.lastMessageAt, peer.unlistedAt) + DepartedRetention;
+    it = isGone ? peers_.erase(it) : std::next(it);
+  }
+}
+
 bool PeerNetwork::isListed(const std::string &host) const {
   const auto found = peers_.find(host);
   return found != peers_.end() && found->second.isListed;
@@ -110,10 +127,12 @@
   const auto found = peers_.find(host);
   if (found == peers_.end())
     return;
-  found->second.suspectUntil = now + SuspicionDuration;
+  Peer &peer = found->second;
+  peer.suspectUntil =
+      now + SuspicionDuration *
+                (1 << std::min(peer.suspicions++, MaxSuspicionDoublings));
   logEvent(LogLevel::Warning, "peer_suspected",
-           {{"peer", host},
-            {"silent_ms", toMillis(now - found->second.lastMessageAt)}});
+           {{"peer", host}, {"silent_ms", toMillis(now - peer.lastMessageAt)}});
 }
 
 bool PeerNetwork::isAvailable(const Peer &peer, TimePoint now) const {
@@ -214,6 +233,7 @@
     peer.lastMessageAt = now;
     peer.messageReceived = true;
     peer.suspectUntil = TimePoint();
+    peer.suspicions = 0;
   }
   messageHandler_(from, std::move(message));
 }
--- a/src/auburnspring/serving/serving_host.cpp
+++ b/src/auburnspring/serving/serving_host.cpp
@@ -476,6 +476,7 @@
               {"why", "still missing after the store became reachable again"}});
   if (!expired.empty())
     pieceDispatcher_.onUpstreamsChanged();
+  peers_.forgetDeparted(now);
   context_.retryQuota.setSharingHosts(peers_.peerCount() + 1);
   follower_.setHostCount(peers_.peerCount() + 1);
   pieceDispatcher_.tick(now);
@@ -531,6 +532,9 @@
 
 void ServingHost::reload(const ServingSettings &settings) {
   settings_.logLevel = settings.logLevel;
+  LogLevel level = LogLevel::Info;
+  parseLogLevel(settings_.logLevel, &level);
+  setLogLevel(level);
   settings_.retryRatio = settings.retryRatio;
   settings_.retrySlack = settings.retrySlack;
   settings_.retryWindow = settings.retryWindow;
--- a/src/auburnspring/serving/store_follower.cpp
+++ b/src/auburnspring/serving/store_follower.cpp
@@ -2,6 +2,7 @@
 
 #include "auburnspring/base/clock.h"
 #include "auburnspring/base/log.h"
+#include "auburnspring/decision/store_watcher_selector.h"
 
 #include <algorithm>
 #include <utility>
@@ -16,16 +17,20 @@
 /// A watch without changes ends after this time. StoreFreshness notices earlier
 /// if it was lost.
 constexpr Duration WatchTimeout = std::chrono::seconds(15);
-/// Minimum interval between watches. It grows with the fleet, so that a burst
-/// of changes costs few calls, and stays well below the time within which a
-/// change must be in force.
-constexpr Duration MinWatchInterval = std::chrono::milliseconds(100);
-constexpr Duration MaxWatchInterval = std::chrono::milliseconds(500);
-constexpr Duration WatchIntervalPerHost = std::chrono::milliseconds(8);
-constexpr Duration LeaseTtl = std::chrono::milliseconds(4000);
-constexpr Duration RenewInterval = std::chrono::milliseconds(1500);
-/// Delay before a failed renewal is repeated: two attempts fit into the TTL.
+/// Least interval between watches right after the start, when this host does
+/// not know yet how large the fleet is, and how long that applies.
+constexpr Duration StartWatchInterval = std::chrono::milliseconds(500);
+constexpr Duration StartPeriod = std::chrono::milliseconds(1500);
+/// Peers find out by heartbeats and probes that a host has ended; its lease
+/// only ends its entry.
+constexpr Duration LeaseTtl = std::chrono::seconds(10);
+constexpr Duration RenewInterval = std::chrono::milliseconds(4500);
+/// Delay before a failed renewal is repeated: several attempts fit into the
+/// TTL.
 constexpr Duration RenewRetryDelay = std::chrono::milliseconds(600);
+/// If nothing has confirmed the replica for this long, the store was away, and
+/// entries that are missing now may have expired meanwhile.
+constexpr Duration MaxUnconfirmedTime = std::chrono::milliseconds(2500);
 constexpr Duration MinRetryDelay = std::chrono::milliseconds(150);
 constexpr Duration MaxRetryDelay = std::chrono::milliseconds(1200);
 
@@ -48,6 +53,7 @@
 }
 
 void StoreFollower::start() {
+  startedAt_ = steadyNow();
   read();
   registerHost();
 }
@@ -124,11 +130,16 @@
 
 void StoreFollower::read() {
   ++storeCalls_;
-  store_->readAll(AllKeysPrefix, [this, number = ++readNumber_](
-                                     const absl::StatusOr<StoreRead> &result) {
-    if (number == readNumber_)
-      onRead(result);
-  });
+  // The watch that follows brings a first read up to date, however old it is.
+  const bool isFirst = replica_.version().revision == 0;
+  store_->readAll(
+      AllKeysPrefix,
+      isFirst ? MetadataStore::ReadMode::MayBeStale
+              : MetadataStore::ReadMode::Current,
+      [this, number = ++readNumber_](const absl::StatusOr<StoreRead> &result) {
+        if (number == readNumber_)
+          onRead(result);
+      });
 }
 
 void StoreFollower::onRead(const absl::StatusOr<StoreRead> &result) {
@@ -172,13 +183,26 @@
 }
 
 StoreUpdate StoreFollower::applyWatch(const StoreRead &read) {
+  if (freshness_.age(steadyNow()) > MaxUnconfirmedTime && reachable_) {
+    setReachable(false, "unconfirmed");
+    setReachable(true, "watch");
+  }
   if (read.version.era == replica_.version().era)
     freshness_.onConfirmed(steadyNow());
   return replica_.apply(read.changes, read.version);
 }
 
+void StoreFollower::checkReachable() {
+  // The renewal has a longer timeout, which also a slow store meets.
+  if (!reachable_ || lease_ == 0 || renewalPending_)
+    return;
+  renewTimer_.cancel();
+  renew();
+}
+
 void StoreFollower::confirmIfStale(std::size_t rank) {
-  if (!watching_ || !watchPending_ || !reachable_ ||
+  // A renewal in progress shows as well whether the store responds.
+  if (!watching_ || !watchPending_ || !reachable_ || renewalPending_ ||
       !freshness_.mustAsk(rank, steadyNow()))
     return;
   ++storeCalls_;
@@ -186,7 +210,7 @@
       AllKeysPrefix, replica_.version().revision,
       [this](const absl::StatusOr<StoreRead> &result) {
         if (!result.ok())
-          return;
+          return checkReachable();
         const StoreUpdate update = applyWatch(*result);
         if (update.changes.empty())
           return;
@@ -199,15 +223,19 @@
       });
 }
 
+Duration StoreFollower::watchInterval() const {
+  const Duration interval = StoreWatcherSelector::watchInterval(hostCount_);
+  return steadyNow() < startedAt_ + StartPeriod
+             ? std::max(StartWatchInterval, interval)
+             : interval;
+}
+
 void StoreFollower::onWatch(const absl::StatusOr<StoreRead> &result) {
   watchPending_ = false;
   if (result.ok()) {
     setReachable(true, "watch");
     const Duration elapsed = steadyNow() - watchStartedAt_;
-    const Duration interval =
-        std::clamp(WatchIntervalPerHost * static_cast<std::int64_t>(hostCount_),
-                   MinWatchInterval, MaxWatchInterval);
-    return scheduleRead(std::max(Duration(0), interval - elapsed));
+    return scheduleRead(std::max(Duration(0), watchInterval() - elapsed));
   }
   if (result.status().code() == absl::StatusCode::kOutOfRange) {
     logEvent(LogLevel::Info, "store_history_gone",
@@ -268,8 +296,10 @@
 
 void StoreFollower::renew() {
   ++storeCalls_;
+  renewalPending_ = true;
   store_->renewLease(lease_, [this, registration = registration_](
                                  const absl::StatusOr<Duration> &ttl) {
+    renewalPending_ = false;
     if (registration != registration_)
       return;
     if (ttl.ok()) {
