--- a/include/auburnspring/serving/active_request.h
+++ b/include/auburnspring/serving/active_request.h
@@ -66,6 +66,7 @@
   }
   ForwardingParams forwardingParams(const UpstreamState &upstream) const;
   void onBody(Attempt *attempt, std::string_view bytes);
+  void recordEventTime(TimePoint now);
   void onEvents(Attempt *attempt, std::string_view bytes);
   void onAttemptEnd(Attempt *attempt);
   void onStreamEnd(Attempt *attempt);
@@ -114,6 +115,10 @@
   asio::steady_timer progressTimer_;
   EventSplitter splitter_;
   std::optional<std::int64_t> lastEventId_;
+  TimePoint firstEventAt_;
+  TimePoint lastEventAt_;
+  /// Longest pause between two events that were forwarded.
+  Duration longestGap_{0};
   bool streamStarted_ = false;
   bool callerDisconnected_ = false;
   bool done_ = false;
--- a/src/auburnspring/serving/active_request.cpp
+++ b/src/auburnspring/serving/active_request.cpp
@@ -185,6 +185,11 @@
        {"stages_ms", stagesDoneAt_ == TimePoint()
                          ? 0.0
                          : toMillis(stagesDoneAt_ - exchange_->receivedAt)},
+       {"first_event_ms",
+        firstEventAt_ == TimePoint()
+            ? 0.0
+            : toMillis(firstEventAt_ - exchange_->receivedAt)},
+       {"longest_gap_ms", toMillis(longestGap_)},
        {"pieces_done", plan_.donePieces()},
        {"left_ms", toMillis(deadline_ - now)},
        {"configuration", table_ ? static_cast<long>(table_->version) : 0},
--- a/src/auburnspring/serving/active_request_attempts.cpp
+++ b/src/auburnspring/serving/active_request_attempts.cpp
@@ -144,6 +144,14 @@
   attempt->body().append(bytes);
 }
 
+void ActiveRequest::recordEventTime(TimePoint now) {
+  if (firstEventAt_ == TimePoint())
+    firstEventAt_ = now;
+  else
+    longestGap_ = std::max(longestGap_, now - lastEventAt_);
+  lastEventAt_ = now;
+}
+
 void ActiveRequest::onEvents(Attempt *attempt, std::string_view bytes) {
   if (done_)
     return;
@@ -160,6 +168,7 @@
     return abortStream("event_too_large");
   if (out.empty())
     return;
+  recordEventTime(steadyNow());
   if (!streamStarted_) {
     streamStarted_ = true;
     attempt->notePrefillDone();
