--- a/include/auburnspring/decision/placement.h
+++ b/include/auburnspring/decision/placement.h
@@ -32,9 +32,6 @@
   absl::Span<const std::string> inputDataCentres;
   /// Speed at which the engines of the pool prefill.
   double prefillMillisPerToken = EngineSpeedEstimator::InitialMillisPerToken;
-  /// Longest pause between events that the streams of the pool tolerate; 0 if
-  /// they have no such target.
-  Duration eventGap{0};
 };
 
 /// The engine for a request, and the prompt tokens that it will have to prefill
@@ -53,9 +50,7 @@
 
 /// Chooses the model engine with the lowest expected time to the first event.
 /// Prompts that share parts go to the same few engines, until those are busier
-/// than others. A prompt whose prefill would pause the streams of an engine for
-/// longer than they tolerate goes to a few engines that other requests avoid.
-/// The engine is null if there is no candidate.
+/// than others. The engine is null if there is no candidate.
 EngineChoice chooseEngine(absl::Span<const UpstreamStatePtr> upstreams,
                           const EngineLimits &limits,
                           const PlacementRequest &request, TimePoint now,
--- a/include/auburnspring/decision/routing_table.h
+++ b/include/auburnspring/decision/routing_table.h
@@ -86,8 +86,6 @@
   /// Connections that one upstream accepts, over all hosts.
   std::int64_t connectionLimit = 0;
   std::optional<EngineLimits> engine;
-  /// Least event gap of the streaming routes to the pool; 0 if there is none.
-  Duration eventGap{0};
   std::optional<BatchLimits> batches;
 };
 
--- a/include/auburnspring/http/server.h
+++ b/include/auburnspring/http/server.h
@@ -8,6 +8,7 @@
 #include <absl/status/status.h>
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
 
 #include <functional>
 #include <memory>
@@ -60,8 +61,9 @@
   void accept();
   void remove(ServerConnection *connection);
 
-  asio::io_context &io_;
   asio::ip::tcp::acceptor acceptor_;
+  /// Delays the next accept after an error.
+  asio::steady_timer acceptTimer_;
   Handler handler_;
   ServerLimits limits_;
   bool draining_ = false;
--- a/src/auburnspring/decision/placement.cpp
+++ b/src/auburnspring/decision/placement.cpp
@@ -3,7 +3,6 @@
 #include "auburnspring/decision/rendezvous.h"
 
 #include <algorithm>
-#include <functional>
 #include <limits>
 #include <utility>
 
@@ -26,19 +25,6 @@
 /// Share of that cost at the engine that ranks second: it has probably cached
 /// the parts, from requests that exceeded the capacity of the first.
 constexpr double SecondRankMissShare = 0.5;
-/// Share of the tolerated pause that a prompt may prefill at an engine with
-/// other streams. The rest is left to what else the engine prefills meanwhile.
-constexpr double MaxPauseShare = 0.6;
-/// One in this many engines of a pool takes the prompts above that share, if
-/// the pool is large enough.
-constexpr std::size_t LongPromptEngineDivisor = 8;
-constexpr std::size_t MinPoolForLongPrompts = 4;
-/// Key of the rendezvous hash that selects those engines.
-constexpr std::string_view LongPromptKey = "long-prompts";
-/// Cost of a long prompt at another engine, and of other requests at those for
-/// long prompts, in multiples of the tolerated pause.
-constexpr double LongPromptElsewhereFactor = 2;
-constexpr double OtherAtLongPromptsFactor = 0.5;
 /// Cost in ms of each result that is fetched from another data centre.
 constexpr double CrossDataCentreMillis = 4;
 /// Weight of failures against latency: the cost of an upstream is multiplied by
@@ -150,33 +136,6 @@
   std::swap((*engines)[1], (*engines)[second]);
 }
 
-/// True if the prompt alone would pause other streams of its engine for longer
-/// than they tolerate.
-bool isLongPrompt(const PlacementRequest &request, std::int64_t sharedTokens) {
-  const double millis =
-      static_cast<double>(request.promptTokens - sharedTokens) *
-      request.prefillMillisPerToken;
-  return request.eventGap > Duration(0) &&
-         millis > MaxPauseShare * toMillis(request.eventGap);
-}
-
-/// Least rendezvous weight of the engines that take long prompts.
-std::uint64_t
-longPromptThreshold(absl::Span<const UpstreamStatePtr> upstreams) {
-  std::vector<std::uint64_t> weights;
-  weights.reserve(upstreams.size());
-  for (const UpstreamStatePtr &upstream : upstreams)
-    if (!upstream->isLeaving)
-      weights.push_back(rendezvousWeight(LongPromptKey, upstream->entry.id));
-  if (weights.size() < MinPoolForLongPrompts)
-    return std::numeric_limits<std::uint64_t>::max();
-  const std::size_t count =
-      std::max<std::size_t>(1, weights.size() / LongPromptEngineDivisor);
-  const auto nth = weights.begin() + static_cast<std::ptrdiff_t>(count - 1);
-  std::nth_element(weights.begin(), nth, weights.end(), std::greater<>());
-  return *nth;
-}
-
 } // namespace
 
 std::int64_t attemptsAt(const UpstreamState &upstream, TimePoint now) {
@@ -214,9 +173,6 @@
   }
   if (!affinityKey.empty())
     moveRankedFirst(affinityKey, &found);
-  const bool isLong = isLongPrompt(request, sharedTokens);
-  const std::uint64_t longPromptWeight = longPromptThreshold(upstreams);
-  const double pauseMillis = toMillis(request.eventGap);
   EngineChoice best;
   double bestMillis = std::numeric_limits<double>::max();
   for (std::size_t i = 0; i < found.size(); ++i) {
@@ -230,12 +186,6 @@
       millis += static_cast<double>(sharedTokens) *
                 request.prefillMillisPerToken * CacheMissFactor *
                 (i == 1 ? SecondRankMissShare : 1);
-    const bool isForLongPrompts =
-        rendezvousWeight(LongPromptKey, found[i]->entry.id) >= longPromptWeight;
-    if (isLong && !isForLongPrompts)
-      millis += pauseMillis * LongPromptElsewhereFactor;
-    if (!isLong && isForLongPrompts)
-      millis += pauseMillis * OtherAtLongPromptsFactor;
     for (const std::string &dataCentre : request.inputDataCentres)
       if (dataCentre != found[i]->entry.dataCentre)
         millis += CrossDataCentreMillis;
--- a/src/auburnspring/decision/routing_table.cpp
+++ b/src/auburnspring/decision/routing_table.cpp
@@ -16,16 +16,6 @@
                        return routes[a].pathPrefix.size() >
                               routes[b].pathPrefix.size();
                      });
-  for (auto &entry : pools)
-    entry.second.eventGap = Duration(0);
-  for (const ServedRoute &route : routes)
-    for (const PoolShare &share : route.pools) {
-      const auto found = pools.find(share.pool);
-      if (found == pools.end() || route.eventGap <= Duration(0))
-        continue;
-      Duration &gap = found->second.eventGap;
-      gap = gap == Duration(0) ? route.eventGap : std::min(gap, route.eventGap);
-    }
   for (std::size_t i = 0; i < organisations.size(); ++i)
     for (const std::string &key : organisations[i].keys)
       organisationByKey_[key] = i;
--- a/src/auburnspring/decision/upstream_directory.cpp
+++ b/src/auburnspring/decision/upstream_directory.cpp
@@ -37,6 +37,7 @@
     return false;
   }
   version_ = list.version;
+  implausibleSince_ = TimePoint::max();
   absl::btree_map<std::string, TrackedUpstreamPtr> next;
   bool changed = false;
   for (const ListedUpstream &upstream : list.upstreams) {
--- a/src/auburnspring/decision/upstream_directory_test.cpp
+++ b/src/auburnspring/decision/upstream_directory_test.cpp
@@ -82,3 +82,15 @@
   Step old = stepAt(std::chrono::seconds(41));
   CHECK_FALSE(directory.onHostList(listOf(20, 2), &old));
 }
+
+TEST_CASE("after an accepted mass removal the next one has to wait again") {
+  UpstreamDirectory directory({});
+  Step first = stepAt(Duration(0));
+  REQUIRE(directory.onHostList(listOf(40, 1), &first));
+  Step doubted = stepAt(std::chrono::seconds(2));
+  REQUIRE_FALSE(directory.onHostList(listOf(15, 2), &doubted));
+  Step accepted = stepAt(std::chrono::seconds(40));
+  REQUIRE(directory.onHostList(listOf(15, 2), &accepted));
+  Step next = stepAt(std::chrono::seconds(42));
+  CHECK_FALSE(directory.onHostList(listOf(4, 3), &next));
+}
--- a/src/auburnspring/http/http_test.cpp
+++ b/src/auburnspring/http/http_test.cpp
@@ -1,3 +1,4 @@
+#include "auburnspring/base/log.h"
 #include "auburnspring/http/client_call.h"
 #include "auburnspring/http/message_reader.h"
 #include "auburnspring/http/server.h"
@@ -7,7 +8,9 @@
 #include <asio/write.hpp>
 #include <catch2/catch.hpp>
 
+#include <sys/resource.h>
 #include <thread>
+#include <unistd.h>
 
 using namespace auburnspring;
 using namespace auburnspring::http;
@@ -305,3 +308,36 @@
   CHECK(callStatus == CallStatus::NotSent);
   CHECK_FALSE(call.mayHaveBeenSent());
 }
+
+TEST_CASE(
+    "a server that ran out of descriptors does not accept again once it is "
+    "closed") {
+  int failures = 0;
+  setLogSink([&](absl::string_view event, const std::string &) {
+    failures += event == "accept_failed" ? 1 : 0;
+  });
+  asio::io_context io;
+  http::Server server(io, [](const std::shared_ptr<http::Exchange> &) {});
+  REQUIRE(server.listen({"127.0.0.1", 0}).ok());
+  asio::ip::tcp::socket caller(io, asio::ip::tcp::v4());
+  rlimit before{};
+  REQUIRE(getrlimit(RLIMIT_NOFILE, &before) == 0);
+  // No descriptor is left for the connection.
+  const int next = dup(0);
+  REQUIRE(next >= 0);
+  close(next);
+  const rlimit exhausted{static_cast<rlim_t>(next), before.rlim_max};
+  REQUIRE(setrlimit(RLIMIT_NOFILE, &exhausted) == 0);
+  asio::error_code ignored;
+  caller.connect({asio::ip::make_address("127.0.0.1"), server.endpoint().port},
+                 ignored);
+  io.run_for(std::chrono::milliseconds(80));
+  CHECK(failures >= 1);
+  server.close();
+  const int atClose = failures;
+  io.restart();
+  io.run_for(std::chrono::milliseconds(200));
+  CHECK(setrlimit(RLIMIT_NOFILE, &before) == 0);
+  CHECK(failures == atClose);
+  setLogSink(nullptr);
+}
--- a/src/auburnspring/http/server.cpp
+++ b/src/auburnspring/http/server.cpp
@@ -4,7 +4,6 @@
 #include "server_connection.h"
 
 #include <asio/post.hpp>
-#include <asio/steady_timer.hpp>
 
 #include <vector>
 
@@ -20,7 +19,7 @@
 } // namespace
 
 Server::Server(asio::io_context &io, Handler handler)
-    : io_(io), acceptor_(io), handler_(std::move(handler)) {}
+    : acceptor_(io), acceptTimer_(io), handler_(std::move(handler)) {}
 
 Server::~Server() = default;
 
@@ -57,10 +56,11 @@
         if (error) {
           logEvent(LogLevel::Warning, "accept_failed",
                    {{"error", error.message()}});
-          auto retryTimer =
-              std::make_shared<asio::steady_timer>(io_, AcceptRetryDelay);
-          retryTimer->async_wait(
-              [this, retryTimer](asio::error_code) { accept(); });
+          acceptTimer_.expires_after(AcceptRetryDelay);
+          acceptTimer_.async_wait([this](asio::error_code timerError) {
+            if (!timerError && acceptor_.is_open())
+              accept();
+          });
           return;
         }
         auto connection =
@@ -89,6 +89,7 @@
 void Server::close() {
   asio::error_code ignored;
   acceptor_.close(ignored);
+  acceptTimer_.cancel();
   drain(Duration(0));
 }
 
--- a/src/auburnspring/serving/active_request_attempts.cpp
+++ b/src/auburnspring/serving/active_request_attempts.cpp
@@ -53,7 +53,6 @@
   if (pool_ == nullptr || !pool_->engine)
     return {placeOnUpstream(members, placement, now, &context_->random), 0};
   placement.prefillMillisPerToken = engineSpeed().millisPerToken();
-  placement.eventGap = pool_->eventGap;
   return chooseEngine(members, *pool_->engine, placement, now,
                       &context_->random);
 }
--- a/src/auburnspring/upstream/upstream_protocol.cpp
+++ b/src/auburnspring/upstream/upstream_protocol.cpp
@@ -31,9 +31,12 @@
 }
 
 FailureKind classifyFailure(int status, const nlohmann::json &json) {
-  const bool isObject = json.is_object();
-  const bool notRun = isObject && json.value("outcome", "") == "not-run";
-  if (notRun && json.value("leaving", false))
+  const auto hasField = [&json](const char *name, const nlohmann::json &value) {
+    const auto found = json.is_object() ? json.find(name) : json.end();
+    return found != json.end() && *found == value;
+  };
+  const bool notRun = hasField("outcome", "not-run");
+  if (notRun && hasField("leaving", true))
     return FailureKind::Leaving;
   if (notRun)
     return FailureKind::Refused;
