A host whose registration failed tries again within a second

Cause: found while reading the diff: with renewals 4.5 s apart a failed lease or entry was tried again only after 2.2 to 4.5 s. Peers can't send to a host that is not registered, so its stage jobs would have had no outcome until then. Change: failures are retried after 0.4 to 0.8 s; a new era ends a pending renewal. Result: a test with a lost write response, bound 1.5 s; it takes 2.2 s and more with the former delay.

--- a/src/auburnspring/serving/store_follower.cpp
+++ b/src/auburnspring/serving/store_follower.cpp
@@ -25,9 +25,9 @@
 /// only ends its entry.
 constexpr Duration LeaseTtl = std::chrono::seconds(10);
 constexpr Duration RenewInterval = std::chrono::milliseconds(4500);
-/// Delay before a failed renewal is repeated: several attempts fit into the
-/// TTL.
-constexpr Duration RenewRetryDelay = std::chrono::milliseconds(600);
+/// Delay before a failed registration or renewal is repeated: several attempts
+/// fit into the TTL, and peers can't send to a host that isn't registered.
+constexpr Duration RetryDelay = std::chrono::milliseconds(800);
 /// If nothing has confirmed the replica for this long, the store was away, and
 /// entries that are missing now may have expired meanwhile.
 constexpr Duration MaxUnconfirmedTime = std::chrono::milliseconds(2500);
@@ -119,6 +119,7 @@
   // The copy may lack this host's lease and entry.
   registered_ = false;
   lease_ = 0;
+  renewTimer_.cancel();
   registerHost();
   if (!watching_ || hasCurrentSnapshot())
     return;
@@ -259,7 +260,7 @@
       return;
     if (!lease.ok()) {
       setReachable(false, std::string(lease.status().message()));
-      return scheduleRenewal(jittered(RenewInterval));
+      return scheduleRenewal(jittered(RetryDelay));
     }
     setReachable(true, "lease");
     lease_ = *lease;
@@ -276,10 +277,12 @@
                 if (registration != registration_)
                   return;
                 registered_ = written.ok();
-                if (!written.ok())
+                if (!written.ok()) {
                   lease_ = 0;
+                  return scheduleRenewal(jittered(RetryDelay));
+                }
                 // The host may have begun to stop in the meantime.
-                else if (leaving != leaving_)
+                if (leaving != leaving_)
                   return writeEntry();
                 scheduleRenewal(jittered(RenewInterval));
               });
@@ -311,7 +314,7 @@
       return registerHost();
     } else {
       setReachable(false, std::string(ttl.status().message()));
-      return scheduleRenewal(jittered(RenewRetryDelay));
+      return scheduleRenewal(jittered(RetryDelay));
     }
     scheduleRenewal(RenewInterval);
   });
