--- a/src/auburnspring/decision/upstream_registry.cpp
+++ b/src/auburnspring/decision/upstream_registry.cpp
@@ -149,10 +149,10 @@
 
 const std::vector<UpstreamStatePtr> &
 UpstreamRegistry::pool(const std::string &name) const {
-  static const std::vector<UpstreamStatePtr> Empty;
+  static const std::vector<UpstreamStatePtr> empty;
   const Index &current = index();
   const auto found = current.pools.find(name);
-  return found == current.pools.end() ? Empty : found->second;
+  return found == current.pools.end() ? empty : found->second;
 }
 
 UpstreamStatePtr UpstreamRegistry::byEndpoint(const Endpoint &endpoint) const {
