Streams that end early and bytes that a closing connection drops are counted

Cause: of the hypotheses for the lost requests, two leave no trace: a connection that is closed by its idle timer although bytes have arrived, and bytes that are read and discarded after a response. A stream that ends early is logged, but neither counted by reason nor with the time since its last event. What callers saw: nothing new; no logic changes. Result: each hypothesis now has a line or a counter of its own.

--- a/include/auburnspring/http/server.h
+++ b/include/auburnspring/http/server.h
@@ -10,8 +10,10 @@
 #include <asio/ip/tcp.hpp>
 #include <asio/steady_timer.hpp>
 
+#include <cstdint>
 #include <functional>
 #include <memory>
+#include <string_view>
 #include <unordered_set>
 
 namespace auburnspring::http {
@@ -55,17 +57,23 @@
   Endpoint endpoint() const;
   bool isDraining() const { return draining_; }
   std::size_t connectionCount() const { return connections_.size(); }
+  /// Connections that were closed although the caller had sent bytes of a
+  /// further request, read or not.
+  std::uint64_t closedWithBytes() const { return closedWithBytes_; }
 
 private:
   friend class ServerConnection;
   void accept();
   void remove(ServerConnection *connection);
+  /// Counts and logs a connection that is closed with bytes of a request.
+  void reportClosedWithBytes(std::string_view when, std::size_t bytes);
 
   asio::ip::tcp::acceptor acceptor_;
   /// Delays the next accept after an error.
   asio::steady_timer acceptTimer_;
   Handler handler_;
   ServerLimits limits_;
+  std::uint64_t closedWithBytes_ = 0;
   bool draining_ = false;
   Duration linger_{0};
   std::unordered_set<std::shared_ptr<ServerConnection>> connections_;
--- a/include/auburnspring/serving/serving_metrics.h
+++ b/include/auburnspring/serving/serving_metrics.h
@@ -27,6 +27,8 @@
   void countAttempt(const std::string &pool, const std::string &end);
   void observeStage(const std::string &pool, Duration elapsed);
   void countRefusal(const std::string &reason);
+  /// Counts a stream whose caller's connection was closed before its end.
+  void countAbortedStream(const std::string &reason);
   /// Sets a gauge that is updated on each scrape.
   void set(const std::string &name, double value);
 
@@ -41,6 +43,7 @@
   prometheus::Family<prometheus::Counter> *attempts_;
   prometheus::Family<prometheus::Histogram> *stages_;
   prometheus::Family<prometheus::Counter> *refusals_;
+  prometheus::Family<prometheus::Counter> *abortedStreams_;
   prometheus::Family<prometheus::Gauge> *state_;
 };
 
--- a/src/auburnspring/http/server.cpp
+++ b/src/auburnspring/http/server.cpp
@@ -77,6 +77,15 @@
   connections_.erase(connection->shared_from_this());
 }
 
+void Server::reportClosedWithBytes(std::string_view when, std::size_t bytes) {
+  ++closedWithBytes_;
+  logEvent(LogLevel::Warning, "caller_bytes_discarded",
+           {{"when", std::string(when)},
+            {"bytes", static_cast<unsigned long>(bytes)},
+            {"idle_timeout_ms", toMillis(limits_.idleTimeout)},
+            {"draining", draining_}});
+}
+
 void Server::drain(Duration linger) {
   draining_ = true;
   linger_ = linger;
--- a/src/auburnspring/http/server_connection.cpp
+++ b/src/auburnspring/http/server_connection.cpp
@@ -4,6 +4,8 @@
 
 #include <asio/write.hpp>
 
+#include <utility>
+
 namespace auburnspring::http {
 
 namespace {
@@ -82,8 +84,11 @@
 }
 
 void ServerConnection::onRead(std::size_t bytes) {
-  if (lingering_ || rejected_)
+  if (lingering_ || rejected_) {
+    if (lingering_ && !rejected_ && !std::exchange(reportedDiscard_, true))
+      server_->reportClosedWithBytes("after_response", bytes);
     return read();
+  }
   unparsed_.append(buffer_.data(), bytes);
   parse();
   read();
@@ -230,9 +235,13 @@
 void ServerConnection::onTimer() {
   if (exchange_)
     return;
-  if (lingering_ || !reader_.isInMessage())
-    return close();
-  reject(408);
+  if (!lingering_ && reader_.isInMessage())
+    return reject(408);
+  asio::error_code ignored;
+  const std::size_t unread = lingering_ ? 0 : socket_.available(ignored);
+  if (unread > 0)
+    server_->reportClosedWithBytes("idle", unread);
+  close();
 }
 
 // Exchange
--- a/src/auburnspring/http/server_connection.h
+++ b/src/auburnspring/http/server_connection.h
@@ -66,6 +66,7 @@
   bool closed_ = false;
   bool closeAfterFlush_ = false;
   bool bodyTooLarge_ = false;
+  bool reportedDiscard_ = false;
   /// True once a request was rejected with an error status; no further request
   /// is read.
   bool rejected_ = false;
--- a/src/auburnspring/serving/active_request.cpp
+++ b/src/auburnspring/serving/active_request.cpp
@@ -149,6 +149,7 @@
 }
 
 void ActiveRequest::abortStream(std::string_view reason) {
+  context_->metrics.countAbortedStream(std::string(reason));
   exchange_->abort();
   finish("incomplete", 0, reason);
 }
@@ -190,9 +191,13 @@
             ? 0.0
             : toMillis(firstEventAt_ - exchange_->receivedAt)},
        {"longest_gap_ms", toMillis(longestGap_)},
+       {"silent_ms",
+        firstEventAt_ == TimePoint() ? 0.0 : toMillis(now - lastEventAt_)},
        {"pieces_done", plan_.donePieces()},
        {"left_ms", toMillis(deadline_ - now)},
        {"configuration", table_ ? static_cast<long>(table_->version) : 0},
+       {"configuration_now",
+        context_->table ? static_cast<long>(context_->table->version) : 0},
        {"upstreams_at",
         static_cast<unsigned long>(context_->registry.version())}});
   for (const auto &attempt : attempts_)
--- a/src/auburnspring/serving/serving_host.cpp
+++ b/src/auburnspring/serving/serving_host.cpp
@@ -419,6 +419,8 @@
   metrics.set("requests_in_progress", static_cast<double>(requests_.size()));
   metrics.set("caller_connections",
               static_cast<double>(callerServer_.connectionCount()));
+  metrics.set("caller_bytes_discarded",
+              static_cast<double>(callerServer_.closedWithBytes()));
   metrics.set("store_revision",
               static_cast<double>(follower_.replica().version().revision));
   metrics.set("store_era",
--- a/src/auburnspring/serving/serving_metrics.cpp
+++ b/src/auburnspring/serving/serving_metrics.cpp
@@ -41,6 +41,10 @@
                      .Name("auburnspring_refusals_total")
                      .Help("Requests refused, by reason")
                      .Register(registry_)),
+      abortedStreams_(&prometheus::BuildCounter()
+                           .Name("auburnspring_aborted_streams_total")
+                           .Help("Streams closed before their end, by reason")
+                           .Register(registry_)),
       state_(&prometheus::BuildGauge()
                   .Name("auburnspring_state")
                   .Help("Current state of the host")
@@ -72,6 +76,10 @@
   refusals_->Add({{"reason", reason}}).Increment();
 }
 
+void ServingMetrics::countAbortedStream(const std::string &reason) {
+  abortedStreams_->Add({{"reason", reason}}).Increment();
+}
+
 void ServingMetrics::set(const std::string &name, double value) {
   state_->Add({{"of", name}}).Set(value);
 }
