A silent upstream ends no response: another is tried beside it

Cause: the stall timer took silence for failure. The class: what one has is given up before its replacement is there. What callers saw: a connection closed in mid-stream, or 502 before the first event, while the upstream was sound; beside a change of configuration as at any time. Change: a stalled stream keeps its attempt and starts a second one beside it, as calls do, if attempts, retries and a candidate allow it. Each attempt splits its own events. Ruled out: only a longer timeout (the response would still end when nothing else can go on); moving at the head of the second response (the first would be lost to an upstream that sends nothing after its head).

--- a/include/auburnspring/serving/active_request.h
+++ b/include/auburnspring/serving/active_request.h
@@ -4,7 +4,6 @@
 #include "auburnspring/decision/stage_plan.h"
 #include "auburnspring/http/exchange.h"
 #include "auburnspring/serving/attempt.h"
-#include "auburnspring/serving/event_splitter.h"
 #include "auburnspring/serving/serving_context.h"
 
 #include <asio/steady_timer.hpp>
@@ -18,7 +17,8 @@
 
 /// One request of a caller, from its arrival to its final response: first the
 /// stages, then one attempt at a time at the upstreams of its route. A
-/// retryable call that is not a stream may be hedged with a second attempt.
+/// retryable call may be hedged with a second attempt, and so may a resumable
+/// stream whose upstream is silent.
 class ActiveRequest : public std::enable_shared_from_this<ActiveRequest> {
 public:
   using FinishedHandler = std::function<void(ActiveRequest *)>;
@@ -68,6 +68,9 @@
   void onBody(Attempt *attempt, std::string_view bytes);
   void recordEventTime(TimePoint now);
   void onEvents(Attempt *attempt, std::string_view bytes);
+  void startStream(Attempt *attempt);
+  /// Makes the attempt the only one, since its events are forwarded now.
+  void keepOnly(Attempt *attempt);
   void onAttemptEnd(Attempt *attempt);
   void onStreamEnd(Attempt *attempt);
   void rerunStages(Attempt *attempt);
@@ -77,6 +80,9 @@
   void onHedge();
   void armStallTimer();
   void onStall();
+  bool mayHedgeStream();
+  /// Starts a second attempt for a stream, once its stages have run again.
+  void hedgeStream();
   bool takeRetry();
   bool hasLiveAttempt() const;
 
@@ -113,7 +119,8 @@
   asio::steady_timer deadlineTimer_;
   /// Hedge delay of a call, stall timeout of a stream.
   asio::steady_timer progressTimer_;
-  EventSplitter splitter_;
+  /// Stages run again for a second attempt of a stream whose first one goes on.
+  bool hedgeAwaitsStages_ = false;
   std::optional<std::int64_t> lastEventId_;
   TimePoint firstEventAt_;
   TimePoint lastEventAt_;
--- a/include/auburnspring/serving/attempt.h
+++ b/include/auburnspring/serving/attempt.h
@@ -5,6 +5,7 @@
 #include "auburnspring/decision/upstream_state.h"
 #include "auburnspring/http/client_call.h"
 #include "auburnspring/serving/dialect.h"
+#include "auburnspring/serving/event_splitter.h"
 
 #include <functional>
 #include <memory>
@@ -54,6 +55,8 @@
   const http::ResponseHead &head() const { return head_; }
   const ResponseInfo &responseInfo() const { return responseInfo_; }
   std::string &body() { return body_; }
+  /// Splits the body of a stream.
+  EventSplitter &splitter() { return splitter_; }
   TimePoint startedAt() const { return startedAt_; }
   bool hasEnded() const { return ended_; }
   http::CallStatus callStatus() const { return callStatus_; }
@@ -73,6 +76,7 @@
   http::ResponseHead head_;
   ResponseInfo responseInfo_;
   std::string body_;
+  EventSplitter splitter_;
   std::string requestId_;
   TimePoint startedAt_;
   bool prefillDone_ = false;
--- a/src/auburnspring/serving/active_request_attempts.cpp
+++ b/src/auburnspring/serving/active_request_attempts.cpp
@@ -2,6 +2,7 @@
 
 #include "auburnspring/base/clock.h"
 #include "auburnspring/base/log.h"
+#include "auburnspring/decision/stall_policy.h"
 #include "auburnspring/decision/upstream_health.h"
 #include "auburnspring/serving/upstream_statements.h"
 
@@ -18,13 +19,6 @@
 /// third of the time left.
 constexpr std::int64_t HedgeFactor = 3;
 constexpr Duration MinHedgeDelay = std::chrono::milliseconds(45);
-/// A resumable stream without events is resumed at another upstream after this
-/// time, or after a multiple of the route's event gap if that is longer.
-constexpr Duration MinStallTimeout = std::chrono::milliseconds(900);
-constexpr std::int64_t StallTimeoutGaps = 4;
-/// Time beyond the latency target after which a stream without a first event is
-/// sent to another upstream.
-constexpr Duration FirstEventSlack = std::chrono::milliseconds(1500);
 /// Unsent bytes at which the stream to a slow caller is aborted.
 constexpr std::size_t MaxPendingBytes = 2 << 20;
 /// Maximum size in bytes of a response body, which is buffered before it is
@@ -155,7 +149,7 @@
   if (done_)
     return;
   std::string out;
-  for (const StreamEvent &event : splitter_.feed(bytes)) {
+  for (const StreamEvent &event : attempt->splitter().feed(bytes)) {
     // A resumed stream may repeat events that the caller has received.
     if (event.id && lastEventId_ && *event.id <= *lastEventId_)
       continue;
@@ -163,29 +157,14 @@
     if (event.id)
       lastEventId_ = event.id;
   }
-  if (splitter_.isTooLarge())
+  if (attempt->splitter().isTooLarge())
     return abortStream("event_too_large");
   if (out.empty())
     return;
+  keepOnly(attempt);
   recordEventTime(steadyNow());
-  if (!streamStarted_) {
-    streamStarted_ = true;
-    attempt->notePrefillDone();
-    recordResponse(attempt->mutableUpstream(),
-                   steadyNow() - attempt->startedAt(), steadyNow());
-    if (pool_ != nullptr && pool_->engine)
-      engineSpeed().observe(pendingTokens_, steadyNow() - attempt->startedAt());
-    const Duration prefillTime =
-        engineSpeed().prefillDuration(request_.promptTokens);
-    context_->firstEventDelays.observe(
-        poolName_,
-        std::max(Duration(0), steadyNow() - attempt->startedAt() - prefillTime),
-        steadyNow());
-    context_->metrics.observeFirstEvent(route_->name,
-                                        steadyNow() - exchange_->receivedAt);
-    exchange_->begin(context_->dialect->callerResponseHead(attempt->head()));
-    releaseResults(plan_.takeHeldResults());
-  }
+  if (!streamStarted_)
+    startStream(attempt);
   attempt->notePrefillDone();
   exchange_->write(out);
   if (exchange_->pendingBytes() > MaxPendingBytes)
@@ -193,6 +172,36 @@
   armStallTimer();
 }
 
+void ActiveRequest::startStream(Attempt *attempt) {
+  streamStarted_ = true;
+  attempt->notePrefillDone();
+  const TimePoint now = steadyNow();
+  const Duration elapsed = now - attempt->startedAt();
+  recordResponse(attempt->mutableUpstream(), elapsed, now);
+  if (pool_ != nullptr && pool_->engine)
+    engineSpeed().observe(pendingTokens_, elapsed);
+  const Duration prefillTime =
+      engineSpeed().prefillDuration(request_.promptTokens);
+  context_->firstEventDelays.observe(
+      poolName_, std::max(Duration(0), elapsed - prefillTime), now);
+  context_->metrics.observeFirstEvent(route_->name,
+                                      now - exchange_->receivedAt);
+  exchange_->begin(context_->dialect->callerResponseHead(attempt->head()));
+  releaseResults(plan_.takeHeldResults());
+}
+
+void ActiveRequest::keepOnly(Attempt *attempt) {
+  hedgeAwaitsStages_ = false;
+  const auto isOther = [attempt](const std::unique_ptr<Attempt> &other) {
+    return other.get() != attempt;
+  };
+  for (const auto &other : attempts_)
+    if (isOther(other) && !other->hasEnded())
+      context_->metrics.countAttempt(poolName_, "superseded");
+  attempts_.erase(std::remove_if(attempts_.begin(), attempts_.end(), isOther),
+                  attempts_.end());
+}
+
 void ActiveRequest::recordHealth(Attempt *attempt) {
   const TimePoint now = steadyNow();
   UpstreamState *upstream = attempt->mutableUpstream();
@@ -242,12 +251,11 @@
   const AttemptReport report = attempt->report();
   const bool isComplete = report.isComplete && report.isSigned &&
                           streamStarted_ && report.status == 200 &&
-                          !splitter_.hasPartialEvent();
+                          !attempt->splitter().hasPartialEvent();
   if (isComplete) {
     exchange_->end();
     return finish("complete", 200, "");
   }
-  splitter_ = EventSplitter();
   AttemptReport incomplete = report;
   incomplete.isComplete = false;
   decideNextStep(incomplete, attempt);
@@ -259,6 +267,9 @@
 
 void ActiveRequest::decideNextStep(const AttemptReport &report,
                                    Attempt *attempt) {
+  // The other attempt of a hedged stream may still go on.
+  if (route_->isStream && (hasLiveAttempt() || hedgeAwaitsStages_))
+    return;
   const bool inputsGone = attempt->responseInfo().areInputsGone;
   AttemptLimits limits;
   limits.possibleRuns = possibleRuns_;
@@ -320,11 +331,7 @@
 void ActiveRequest::armStallTimer() {
   if (!route_->isResumable)
     return;
-  const Duration timeout =
-      streamStarted_
-          ? std::max(MinStallTimeout, route_->eventGap * StallTimeoutGaps)
-          : route_->targetLatency + FirstEventSlack;
-  progressTimer_.expires_after(timeout);
+  progressTimer_.expires_after(stallTimeout(*route_, streamStarted_));
   progressTimer_.async_wait([weak = weak_from_this()](asio::error_code error) {
     const auto self = weak.lock();
     if (!error && self && !self->done_)
@@ -333,31 +340,38 @@
 }
 
 void ActiveRequest::onStall() {
-  if (!hasLiveAttempt() || possibleRuns_ >= route_->maxAttempts)
+  if (!hasLiveAttempt())
     return;
-  Attempt *attempt = attempts_.back().get();
+  UpstreamState *upstream = attempts_.back()->mutableUpstream();
+  const bool hedges = mayHedgeStream() && takeRetry();
   logEvent(LogLevel::Info, "stream_stalled",
            {{"id", request_.id},
-            {"upstream", attempt->upstream().entry.id},
-            {"last_event", static_cast<long>(lastEventId_.value_or(-1))}});
-  attempt->cancel();
-  recordUpstreamFailure(attempt->mutableUpstream(), steadyNow());
-  AttemptReport report = attempt->report();
-  report.mayHaveBeenSent = true;
-  report.isComplete = false;
-  attempts_.clear();
-  splitter_ = EventSplitter();
-  if (decideRetry(*route_, report,
-                  {possibleRuns_,
-                   static_cast<std::int64_t>(triedUpstreams_.size()), true}) !=
-          RetryDecision::RetryElsewhere ||
-      !takeRetry())
-    return streamStarted_ ? abortStream("stalled") : refuse(502, "stalled");
-  if (plan_.stages().empty() || !streamStarted_)
+            {"upstream", upstream->entry.id},
+            {"last_event", static_cast<long>(lastEventId_.value_or(-1))},
+            {"hedged", hedges}});
+  // Silence alone ends no response: the upstream may go on.
+  armStallTimer();
+  if (!hedges)
+    return;
+  recordUpstreamFailure(upstream, steadyNow());
+  hedgeStream();
+}
+
+bool ActiveRequest::mayHedgeStream() {
+  const auto attemptCount = static_cast<std::int64_t>(triedUpstreams_.size());
+  return !hedgeAwaitsStages_ && possibleRuns_ < route_->maxAttempts &&
+         attemptCount < MaxAttemptsPerRequest && timeLeft() > MinAttemptTime &&
+         selectUpstream({}).engine != nullptr;
+}
+
+void ActiveRequest::hedgeStream() {
+  const bool needsStages = !plan_.stages().empty() && streamStarted_;
+  if (!needsStages)
     return dispatch();
-  if (plan_.restartFinalStages())
-    return submitReadyStages();
-  abortStream("stalled");
+  if (!plan_.restartFinalStages())
+    return;
+  hedgeAwaitsStages_ = true;
+  submitReadyStages();
 }
 
 } // namespace auburnspring
--- a/src/auburnspring/serving/active_request_stages.cpp
+++ b/src/auburnspring/serving/active_request_stages.cpp
@@ -5,6 +5,7 @@
 #include "auburnspring/decision/request_value.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace auburnspring {
 
@@ -61,6 +62,10 @@
   }
   if (!plan_.isDone())
     return;
+  // The upstream of a stalled stream has gone on meanwhile.
+  const bool isHedge = std::exchange(hedgeAwaitsStages_, false);
+  if (!isHedge && hasLiveAttempt())
+    return releaseResults(plan_.takeHeldResults());
   stagesDoneAt_ = steadyNow();
   dispatch();
 }
@@ -177,6 +182,9 @@
   context_->metrics.observeStage(pool, now - since);
   context_->stageDurations.observe(pool, now - since, now);
   const auto giveUp = [this, &outcome](std::string_view reason) {
+    hedgeAwaitsStages_ = false;
+    if (hasLiveAttempt())
+      return;
     streamStarted_ ? abortStream(reason)
                    : refuse(possibleRuns_ > 0 ? 502 : 503, reason,
                             retryAfterFor(outcome.backlog));
