A stage that failed or lacks attempts leaves the plan consistent

Cause: a stage that ended without results stayed marked as started, so that asking for it again succeeded and started nothing; a stage without attempts left was half reset before the plan refused, and the next call sent it without its inputs. What callers saw: a stream whose second attempt could not get its stages, and whose first upstream broke off later, hung until its deadline; by reading, a final stage without inputs. Change: StagePlan checks before it changes anything (canRestart), onStageFailed() makes a stage ready again, and stages that ran for a second attempt are left alone once the first goes on.

--- a/include/auburnspring/decision/stage_plan.h
+++ b/include/auburnspring/decision/stage_plan.h
@@ -40,11 +40,17 @@
                                        std::vector<std::string> results);
 
   /// Runs the stage and its predecessors again because a result that it needs
-  /// is gone. False if a stage has no attempts left.
+  /// is gone. False, without a change, if a stage has no attempts left.
   bool onInputsGone(std::uint32_t stage, std::uint32_t attempt);
 
-  /// Runs the final stages again. False if a stage has no attempts left.
+  /// A stage ended without results. It starts again with the next ready ones
+  /// while it has attempts left.
+  void onStageFailed(std::uint32_t stage, std::uint32_t attempt);
+
+  /// Runs the final stages again, and those whose results they lack. False,
+  /// without a change, if a stage has no attempts left.
   bool restartFinalStages();
+  bool canRestartFinalStages() const;
 
   bool isDone() const;
   /// Results of the final stages, in order of stage and piece.
@@ -77,7 +83,13 @@
 
   /// True if no stage uses the results of this one.
   bool isFinal(std::uint32_t stage) const;
-  bool restartStage(std::uint32_t stage);
+  /// True if the stage is running or may run again.
+  bool canRestart(std::uint32_t stage) const;
+  bool canProvideInputs(std::uint32_t stage) const;
+  /// Must follow a successful canRestart().
+  void restartStage(std::uint32_t stage);
+  /// True if the attempt of the stage is the latest one and has not ended.
+  bool isCurrent(std::uint32_t stage, std::uint32_t attempt) const;
   void skipEmptyStages();
 
   std::vector<PieceStage> stages_;
--- a/src/auburnspring/decision/serving_decisions_test.cpp
+++ b/src/auburnspring/decision/serving_decisions_test.cpp
@@ -238,6 +238,48 @@
   CHECK_FALSE(mayRestart);
 }
 
+// Guards against a final stage that is sent without its inputs (MIXED).
+TEST_CASE("a stage plan whose attempts are spent starts no stage without its "
+          "inputs") {
+  StagePlan plan({{"a", {}, 0}, {"b", {0}, 0}, {"c", {1}, 0}}, {1, 1, 1});
+  const auto finish = [&plan](std::uint32_t stage) {
+    plan.takeReady();
+    plan.onStageDone(stage, plan.attempt(stage), {"r"});
+  };
+  finish(0);
+  for (int i = 0; i < 2; ++i) {
+    plan.takeReady();
+    REQUIRE(plan.onInputsGone(1, plan.attempt(1)));
+    finish(0);
+  }
+  finish(1);
+  finish(2);
+  plan.takeHeldResults();
+  REQUIRE(plan.restartFinalStages());
+  finish(0);
+  finish(1);
+  finish(2);
+  plan.takeHeldResults();
+  CHECK_FALSE(plan.restartFinalStages());
+  CHECK_FALSE(plan.restartFinalStages());
+  CHECK(plan.takeReady().empty());
+}
+
+// Guards against a request that waits for a stage that nothing runs.
+TEST_CASE("a failed stage runs again while it has attempts left") {
+  StagePlan plan({{"a", {}, 0}, {"b", {0}, 0}}, {1, 1});
+  plan.takeReady();
+  plan.onStageDone(0, plan.attempt(0), {"r"});
+  for (std::uint32_t i = 0; i < StagePlan::MaxStageAttempts; ++i) {
+    CHECK(plan.canRestartFinalStages());
+    REQUIRE(plan.takeReady() == std::vector<std::uint32_t>{1});
+    CHECK(plan.inputsOf(1) == std::vector<std::string>{"r"});
+    plan.onStageFailed(1, plan.attempt(1));
+  }
+  CHECK_FALSE(plan.canRestartFinalStages());
+  CHECK(plan.takeReady().empty());
+}
+
 TEST_CASE("placement: a shared prompt stays on one engine until that is busy") {
   std::vector<UpstreamStatePtr> engines;
   for (int i = 0; i < 12; ++i) {
--- a/src/auburnspring/decision/stage_plan.cpp
+++ b/src/auburnspring/decision/stage_plan.cpp
@@ -93,39 +93,88 @@
   return toFree;
 }
 
-bool StagePlan::restartStage(std::uint32_t stage) {
-  State &state = states_[stage];
-  if (state.pieces == 0 || !state.done)
+bool StagePlan::canRestart(std::uint32_t stage) const {
+  const State &state = states_[stage];
+  if (state.pieces == 0)
     return true;
-  if (++state.attempt >= MaxStageAttempts)
-    return false;
-  state.started = state.done = state.released = false;
-  state.results.clear();
+  const std::uint32_t next = state.attempt + (state.done ? 1 : 0);
+  return next < MaxStageAttempts && canProvideInputs(stage);
+}
+
+bool StagePlan::canProvideInputs(std::uint32_t stage) const {
+  const auto &dependencies = stages_[stage].dependencies;
+  return std::all_of(dependencies.begin(), dependencies.end(),
+                     [this](std::uint32_t predecessor) {
+                       const State &state = states_[predecessor];
+                       return (state.done && !state.released) ||
+                              canRestart(predecessor);
+                     });
+}
+
+void StagePlan::restartStage(std::uint32_t stage) {
+  State &state = states_[stage];
+  if (state.pieces == 0)
+    return;
+  if (state.done) {
+    ++state.attempt;
+    state.started = state.done = state.released = false;
+    state.results.clear();
+  }
   for (const std::uint32_t predecessor : stages_[stage].dependencies)
-    if (states_[predecessor].released && !restartStage(predecessor))
-      return false;
-  return true;
+    if (states_[predecessor].released)
+      restartStage(predecessor);
 }
 
 bool StagePlan::onInputsGone(std::uint32_t stage, std::uint32_t attempt) {
-  if (stage >= states_.size() || states_[stage].attempt != attempt ||
-      states_[stage].done)
+  if (!isCurrent(stage, attempt))
     return true;
-  if (++states_[stage].attempt >= MaxStageAttempts)
+  State &state = states_[stage];
+  ++state.attempt;
+  const auto &dependencies = stages_[stage].dependencies;
+  const bool mayRun = state.attempt < MaxStageAttempts &&
+                      std::all_of(dependencies.begin(), dependencies.end(),
+                                  [this](std::uint32_t predecessor) {
+                                    return canRestart(predecessor);
+                                  });
+  if (!mayRun) {
+    state.attempt = MaxStageAttempts;
     return false;
-  states_[stage].started = false;
-  return std::all_of(
-      stages_[stage].dependencies.begin(), stages_[stage].dependencies.end(),
-      [this](std::uint32_t predecessor) { return restartStage(predecessor); });
+  }
+  state.started = false;
+  for (const std::uint32_t predecessor : dependencies)
+    restartStage(predecessor);
+  return true;
 }
 
-bool StagePlan::restartFinalStages() {
+void StagePlan::onStageFailed(std::uint32_t stage, std::uint32_t attempt) {
+  if (!isCurrent(stage, attempt))
+    return;
+  State &state = states_[stage];
+  ++state.attempt;
+  state.started = state.attempt >= MaxStageAttempts;
+}
+
+bool StagePlan::isCurrent(std::uint32_t stage, std::uint32_t attempt) const {
+  return stage < states_.size() && states_[stage].attempt == attempt &&
+         !states_[stage].done;
+}
+
+bool StagePlan::canRestartFinalStages() const {
   for (std::uint32_t i = 0; i < stages_.size(); ++i)
-    if (isFinal(i) && !restartStage(i))
+    if (isFinal(i) && !canRestart(i))
       return false;
   return true;
 }
 
+bool StagePlan::restartFinalStages() {
+  if (!canRestartFinalStages())
+    return false;
+  for (std::uint32_t i = 0; i < stages_.size(); ++i)
+    if (isFinal(i))
+      restartStage(i);
+  return true;
+}
+
 bool StagePlan::isDone() const {
   return std::all_of(states_.begin(), states_.end(),
                      [](const State &state) { return state.done; });
--- a/src/auburnspring/serving/active_request_stages.cpp
+++ b/src/auburnspring/serving/active_request_stages.cpp
@@ -5,7 +5,6 @@
 #include "auburnspring/decision/request_value.h"
 
 #include <algorithm>
-#include <utility>
 
 namespace auburnspring {
 
@@ -50,6 +49,13 @@
 }
 
 void ActiveRequest::submitReadyStages() {
+  // Unless a second attempt needs them, stages that ran for it are left as they
+  // are while the first attempt goes on.
+  if (hasLiveAttempt() && !hedgeAwaitsStages_) {
+    if (plan_.isDone())
+      releaseResults(plan_.takeHeldResults());
+    return;
+  }
   for (const std::uint32_t stage : plan_.takeReady()) {
     const TimePoint now = steadyNow();
     const std::string pool = plan_.stages()[stage].pool;
@@ -62,10 +68,7 @@
   }
   if (!plan_.isDone())
     return;
-  // The upstream of a stalled stream has gone on meanwhile.
-  const bool isHedge = std::exchange(hedgeAwaitsStages_, false);
-  if (!isHedge && hasLiveAttempt())
-    return releaseResults(plan_.takeHeldResults());
+  hedgeAwaitsStages_ = false;
   stagesDoneAt_ = steadyNow();
   dispatch();
 }
@@ -184,7 +187,7 @@
   const auto giveUp = [this, &outcome](std::string_view reason) {
     hedgeAwaitsStages_ = false;
     if (hasLiveAttempt())
-      return;
+      return plan_.onStageFailed(outcome.stage, outcome.attempt);
     streamStarted_ ? abortStream(reason)
                    : refuse(possibleRuns_ > 0 ? 502 : 503, reason,
                             retryAfterFor(outcome.backlog));
