The first upstream of a stream is left soon after the second one has begun

Cause: only an event of the second upstream ended the first attempt. A second one that ran and then was silent or slow left both at work. Change: once the second upstream has sent its head the first is left after 250 ms, unless it brings an event by then. Silence still ends nothing: one attempt remains. Evidence: 'the first upstream is left soon after the second one has begun' failed (1.3 s) and passes; the other cases of platform_hedged_stream_test pass but the one of a refusing second upstream. Result: one known fault of second attempts is left.

--- a/include/auburnspring/serving/active_request.h
+++ b/include/auburnspring/serving/active_request.h
@@ -65,6 +65,10 @@
     return context_->engineSpeeds[poolName_];
   }
   ForwardingParams forwardingParams(const UpstreamState &upstream) const;
+  bool isEventStream(const Attempt &attempt) const;
+  void onHead(Attempt *attempt);
+  /// Leaves the other attempt of a stream a bounded time after this one began.
+  void boundOverlap(Attempt *attempt);
   void onBody(Attempt *attempt, std::string_view bytes);
   void recordEventTime(TimePoint now);
   void onEvents(Attempt *attempt, std::string_view bytes);
@@ -119,6 +123,8 @@
   asio::steady_timer deadlineTimer_;
   /// Hedge delay of a call, stall timeout of a stream.
   asio::steady_timer progressTimer_;
+  /// Bounds how long two upstreams run one stream.
+  asio::steady_timer overlapTimer_;
   /// Stages run again for a second attempt of a stream whose first one goes on.
   bool hedgeAwaitsStages_ = false;
   std::optional<std::int64_t> lastEventId_;
--- a/src/auburnspring/serving/active_request.cpp
+++ b/src/auburnspring/serving/active_request.cpp
@@ -22,7 +22,8 @@
                              FinishedHandler onFinished)
     : context_(context), exchange_(std::move(exchange)),
       onFinished_(std::move(onFinished)), table_(context->table),
-      deadlineTimer_(*context->io), progressTimer_(*context->io) {}
+      deadlineTimer_(*context->io), progressTimer_(*context->io),
+      overlapTimer_(*context->io) {}
 
 void ActiveRequest::start() {
   request_ = context_->dialect->parseCallerRequest(exchange_->head);
@@ -162,6 +163,7 @@
   exchange_->onDisconnect = nullptr;
   deadlineTimer_.cancel();
   progressTimer_.cancel();
+  overlapTimer_.cancel();
   if (context_->pieceDispatcher != nullptr && !plan_.stages().empty()) {
     context_->pieceDispatcher->cancel(request_.id);
     releaseResults(plan_.takeHeldResults());
--- a/src/auburnspring/serving/active_request_attempts.cpp
+++ b/src/auburnspring/serving/active_request_attempts.cpp
@@ -19,6 +19,9 @@
 /// third of the time left.
 constexpr std::int64_t HedgeFactor = 3;
 constexpr Duration MinHedgeDelay = std::chrono::milliseconds(45);
+/// Once a second upstream of a stream has sent its head, it runs the request:
+/// the first one is left after this time, unless it brings an event.
+constexpr Duration MaxStreamOverlap = std::chrono::milliseconds(250);
 /// Unsent bytes at which the stream to a slow caller is aborted.
 constexpr std::size_t MaxPendingBytes = 2 << 20;
 /// Maximum size in bytes of a response body, which is buffered before it is
@@ -102,10 +105,7 @@
   auto attempt = std::make_unique<Attempt>(*context_->io, context_->dialect,
                                            upstream, tokens);
   Attempt *raw = attempt.get();
-  events.onHead = [this, raw] {
-    applyUpstreamStatements(raw->responseInfo(), raw->mutableUpstream(),
-                            &context_->registry, steadyNow());
-  };
+  events.onHead = [this, raw] { onHead(raw); };
   events.onBody = [this, raw](std::string_view bytes) { onBody(raw, bytes); };
   events.onEnd = [weak = weak_from_this(), raw] {
     if (const auto self = weak.lock())
@@ -123,11 +123,43 @@
     armHedgeTimer();
 }
 
+bool ActiveRequest::isEventStream(const Attempt &attempt) const {
+  return route_->isStream && attempt.head().status == 200 &&
+         attempt.responseInfo().isSigned && !attempt.responseInfo().isEncoded;
+}
+
+void ActiveRequest::onHead(Attempt *attempt) {
+  applyUpstreamStatements(attempt->responseInfo(), attempt->mutableUpstream(),
+                          &context_->registry, steadyNow());
+  const bool isOnly = attempts_.size() == 1;
+  const bool otherBegan =
+      !streamStarted_ &&
+      std::any_of(attempts_.begin(), attempts_.end(), [&](const auto &other) {
+        return other.get() != attempt && isEventStream(*other);
+      });
+  if (isEventStream(*attempt) && !isOnly && !otherBegan)
+    boundOverlap(attempt);
+}
+
+void ActiveRequest::boundOverlap(Attempt *attempt) {
+  overlapTimer_.expires_after(MaxStreamOverlap);
+  overlapTimer_.async_wait(
+      [weak = weak_from_this(), attempt](asio::error_code error) {
+        const auto self = weak.lock();
+        if (error || !self || self->done_)
+          return;
+        const auto &attempts = self->attempts_;
+        const bool isLive = std::any_of(
+            attempts.begin(), attempts.end(), [attempt](const auto &other) {
+              return other.get() == attempt && !other->hasEnded();
+            });
+        if (isLive)
+          self->keepOnly(attempt);
+      });
+}
+
 void ActiveRequest::onBody(Attempt *attempt, std::string_view bytes) {
-  const bool isStream = route_->isStream && attempt->head().status == 200 &&
-                        attempt->responseInfo().isSigned &&
-                        !attempt->responseInfo().isEncoded;
-  if (isStream)
+  if (isEventStream(*attempt))
     return onEvents(attempt, bytes);
   if (done_)
     return;
@@ -192,6 +224,7 @@
 
 void ActiveRequest::keepOnly(Attempt *attempt) {
   hedgeAwaitsStages_ = false;
+  overlapTimer_.cancel();
   const auto isOther = [attempt](const std::unique_ptr<Attempt> &other) {
     return other.get() != attempt;
   };
