A refused second attempt of a stream goes to the next upstream at once

Cause: the end of a second attempt that had not run was ignored until the next stall; stages then ran again although their results were held, which were dropped unreleased; the stall was charged to the attempt that started last, and a retry was spent before the stages were known to be able to run. What callers saw: two seconds more of silence for each refusal. Change: while the stream is stalled a second attempt that has not run is followed by another one, within the same limits; held results are used again; results that are gone are released and made again; the silent attempt is the one that is named and charged.

--- a/include/auburnspring/decision/stage_plan.h
+++ b/include/auburnspring/decision/stage_plan.h
@@ -53,6 +53,8 @@
   bool canRestartFinalStages() const;
 
   bool isDone() const;
+  /// True if all stages are done and no result of the final ones was released.
+  bool holdsFinalResults() const;
   /// Results of the final stages, in order of stage and piece.
   std::vector<std::string> finalResults() const;
   /// Removes and returns all results that have not been released.
--- a/include/auburnspring/serving/active_request.h
+++ b/include/auburnspring/serving/active_request.h
@@ -84,9 +84,12 @@
   void onHedge();
   void armStallTimer();
   void onStall();
+  bool needsStagesAgain() const;
   bool mayHedgeStream();
   /// Starts a second attempt for a stream, once its stages have run again.
   void hedgeStream();
+  /// The second attempt of a stalled stream did not run: tries another one.
+  void retryHedge(Attempt *attempt);
   bool takeRetry();
   bool hasLiveAttempt() const;
 
@@ -125,6 +128,8 @@
   asio::steady_timer progressTimer_;
   /// Bounds how long two upstreams run one stream.
   asio::steady_timer overlapTimer_;
+  /// The stream has stalled and no attempt has brought an event since.
+  bool isStalled_ = false;
   /// Stages run again for a second attempt of a stream whose first one goes on.
   bool hedgeAwaitsStages_ = false;
   std::optional<std::int64_t> lastEventId_;
--- a/src/auburnspring/decision/stage_plan.cpp
+++ b/src/auburnspring/decision/stage_plan.cpp
@@ -180,6 +180,13 @@
                      [](const State &state) { return state.done; });
 }
 
+bool StagePlan::holdsFinalResults() const {
+  for (std::uint32_t i = 0; i < stages_.size(); ++i)
+    if (isFinal(i) && states_[i].released)
+      return false;
+  return isDone();
+}
+
 std::vector<std::string> StagePlan::finalResults() const {
   std::vector<std::string> results;
   for (std::uint32_t i = 0; i < stages_.size(); ++i)
--- a/src/auburnspring/serving/active_request_attempts.cpp
+++ b/src/auburnspring/serving/active_request_attempts.cpp
@@ -223,7 +223,7 @@
 }
 
 void ActiveRequest::keepOnly(Attempt *attempt) {
-  hedgeAwaitsStages_ = false;
+  isStalled_ = hedgeAwaitsStages_ = false;
   overlapTimer_.cancel();
   const auto isOther = [attempt](const std::unique_ptr<Attempt> &other) {
     return other.get() != attempt;
@@ -301,8 +301,11 @@
 void ActiveRequest::decideNextStep(const AttemptReport &report,
                                    Attempt *attempt) {
   // The other attempt of a hedged stream may still go on.
-  if (route_->isStream && (hasLiveAttempt() || hedgeAwaitsStages_))
+  if (route_->isStream && (hasLiveAttempt() || hedgeAwaitsStages_)) {
+    if (isStalled_ && !mayHaveRun(report))
+      retryHedge(attempt);
     return;
+  }
   const bool inputsGone = attempt->responseInfo().areInputsGone;
   AttemptLimits limits;
   limits.possibleRuns = possibleRuns_;
@@ -373,9 +376,13 @@
 }
 
 void ActiveRequest::onStall() {
-  if (!hasLiveAttempt())
+  const auto silent =
+      std::find_if(attempts_.begin(), attempts_.end(),
+                   [](const auto &attempt) { return !attempt->hasEnded(); });
+  if (silent == attempts_.end())
     return;
-  UpstreamState *upstream = attempts_.back()->mutableUpstream();
+  isStalled_ = true;
+  UpstreamState *upstream = (*silent)->mutableUpstream();
   const bool hedges = mayHedgeStream() && takeRetry();
   logEvent(LogLevel::Info, "stream_stalled",
            {{"id", request_.id},
@@ -390,21 +397,31 @@
   hedgeStream();
 }
 
+bool ActiveRequest::needsStagesAgain() const {
+  return !plan_.stages().empty() && !plan_.holdsFinalResults();
+}
+
 bool ActiveRequest::mayHedgeStream() {
   const auto attemptCount = static_cast<std::int64_t>(triedUpstreams_.size());
   return !hedgeAwaitsStages_ && possibleRuns_ < route_->maxAttempts &&
          attemptCount < MaxAttemptsPerRequest && timeLeft() > MinAttemptTime &&
+         (!needsStagesAgain() || plan_.canRestartFinalStages()) &&
          selectUpstream({}).engine != nullptr;
 }
 
 void ActiveRequest::hedgeStream() {
-  const bool needsStages = !plan_.stages().empty() && streamStarted_;
-  if (!needsStages)
+  if (!needsStagesAgain())
     return dispatch();
-  if (!plan_.restartFinalStages())
-    return;
+  plan_.restartFinalStages();
   hedgeAwaitsStages_ = true;
   submitReadyStages();
 }
 
+void ActiveRequest::retryHedge(Attempt *attempt) {
+  if (attempt->responseInfo().areInputsGone)
+    releaseResults(plan_.takeHeldResults());
+  if (mayHedgeStream() && takeRetry())
+    hedgeStream();
+}
+
 } // namespace auburnspring
