Load estimates and log lines follow the attempt that responds

Cause: the tokens pending at an engine were kept for the latest attempt, and request_done named the latest upstream, also when an earlier one responded. What callers saw: nothing; engine speeds were learned from the wrong pair of tokens and time, and the log named an upstream that had refused. Change: the tokens belong to the attempt; request_done names the upstream whose response is forwarded.

--- a/include/auburnspring/serving/active_request.h
+++ b/include/auburnspring/serving/active_request.h
@@ -117,10 +117,9 @@
   StagePlan plan_;
   TimePoint stagesDoneAt_;
   std::vector<std::unique_ptr<Attempt>> attempts_;
-  /// Prompt tokens that the engine of the latest attempt had to prefill before
-  /// its first event.
-  std::int64_t pendingTokens_ = 0;
   std::vector<std::string> triedUpstreams_;
+  /// The upstream whose response is forwarded; empty before that.
+  std::string respondingUpstream_;
   /// Attempts that an upstream may have run.
   std::int64_t possibleRuns_ = 0;
   asio::steady_timer deadlineTimer_;
--- a/include/auburnspring/serving/attempt.h
+++ b/include/auburnspring/serving/attempt.h
@@ -20,6 +20,9 @@
   std::int64_t prefill = 0;
   /// Tokens held in the KV cache until the attempt ends.
   std::int64_t kvCache = 0;
+  /// Prompt tokens, of all requests there, that the engine has to prefill
+  /// before the first event.
+  std::int64_t pending = 0;
 };
 
 /// One dispatch of a request to one upstream. It counts toward the upstream's
@@ -58,6 +61,7 @@
   /// Splits the body of a stream.
   EventSplitter &splitter() { return splitter_; }
   TimePoint startedAt() const { return startedAt_; }
+  const AttemptTokens &tokens() const { return tokens_; }
   bool hasEnded() const { return ended_; }
   http::CallStatus callStatus() const { return callStatus_; }
   const std::string &failureReason() const { return failureReason_; }
--- a/src/auburnspring/serving/active_request.cpp
+++ b/src/auburnspring/serving/active_request.cpp
@@ -133,6 +133,7 @@
 
 void ActiveRequest::relay(Attempt *attempt) {
   const int status = attempt->head().status;
+  respondingUpstream_ = attempt->upstream().entry.id;
   exchange_->respond(context_->dialect->callerResponseHead(attempt->head()),
                      attempt->body());
   finish(status < 500 ? "complete" : "upstream_failed", status, "");
@@ -181,8 +182,9 @@
        {"outcome", outcome},
        {"status", status},
        {"reason", std::string(reason)},
-       {"upstream",
-        triedUpstreams_.empty() ? std::string() : triedUpstreams_.back()},
+       {"upstream", respondingUpstream_.empty() && !triedUpstreams_.empty()
+                        ? triedUpstreams_.back()
+                        : respondingUpstream_},
        {"attempts", static_cast<unsigned long>(triedUpstreams_.size())},
        {"ms", toMillis(elapsed)},
        {"stages_ms", stagesDoneAt_ == TimePoint()
--- a/src/auburnspring/serving/active_request_attempts.cpp
+++ b/src/auburnspring/serving/active_request_attempts.cpp
@@ -89,7 +89,6 @@
 
 void ActiveRequest::startAttempt(const EngineChoice &choice) {
   const UpstreamStatePtr &upstream = choice.engine;
-  pendingTokens_ = choice.pendingTokens;
   const TimePoint now = steadyNow();
   if (triedUpstreams_.empty())
     context_->retryQuota.recordFirstAttempts(poolName_, 1, now);
@@ -100,7 +99,7 @@
     sharedTokens += request_.prompt[i].tokens;
   const AttemptTokens tokens{
       std::max<std::int64_t>(0, request_.promptTokens - sharedTokens),
-      request_.promptTokens + request_.outputTokens};
+      request_.promptTokens + request_.outputTokens, choice.pendingTokens};
   Attempt::Events events;
   auto attempt = std::make_unique<Attempt>(*context_->io, context_->dialect,
                                            upstream, tokens);
@@ -211,7 +210,7 @@
   const Duration elapsed = now - attempt->startedAt();
   recordResponse(attempt->mutableUpstream(), elapsed, now);
   if (pool_ != nullptr && pool_->engine)
-    engineSpeed().observe(pendingTokens_, elapsed);
+    engineSpeed().observe(attempt->tokens().pending, elapsed);
   const Duration prefillTime =
       engineSpeed().prefillDuration(request_.promptTokens);
   context_->firstEventDelays.observe(
@@ -225,6 +224,7 @@
 void ActiveRequest::keepOnly(Attempt *attempt) {
   isStalled_ = hedgeAwaitsStages_ = false;
   overlapTimer_.cancel();
+  respondingUpstream_ = attempt->upstream().entry.id;
   const auto isOther = [attempt](const std::unique_ptr<Attempt> &other) {
     return other.get() != attempt;
   };
