A server error is not relayed while its hedge still runs

Cause: a complete, signed error of one of two attempts was relayed at once, as a good response is. Change: while another attempt runs an error only waits; it is relayed if that one fails without a response of its own. Result: a hedge can only improve a response.

--- a/include/auburnspring/serving/active_request.h
+++ b/include/auburnspring/serving/active_request.h
@@ -78,6 +78,9 @@
   void onAttemptEnd(Attempt *attempt);
   void onStreamEnd(Attempt *attempt);
   void rerunStages(Attempt *attempt);
+  /// A complete response with a server error of an attempt of a call; null if
+  /// there is none.
+  Attempt *errorResponse() const;
   void decideNextStep(const AttemptReport &report, Attempt *attempt);
   void recordHealth(Attempt *attempt);
   void armHedgeTimer();
--- a/src/auburnspring/serving/active_request_attempts.cpp
+++ b/src/auburnspring/serving/active_request_attempts.cpp
@@ -316,7 +316,10 @@
     return;
   if (step == RetryDecision::RetryElsewhere && !takeRetry())
     step = decideWithoutRetry(report, possibleRuns_);
-  if (step != RetryDecision::RelayResponse && hasLiveAttempt())
+  // A hedge may still bring a better response than an error.
+  const bool isSuccess =
+      step == RetryDecision::RelayResponse && report.status < 500;
+  if (!isSuccess && hasLiveAttempt())
     return;
   if (step == RetryDecision::RetryElsewhere) {
     if (inputsGone || (!plan_.stages().empty() && streamStarted_))
@@ -325,6 +328,9 @@
   }
   if (streamStarted_)
     return abortStream("upstream_broke_off");
+  if (step != RetryDecision::RelayResponse)
+    if (Attempt *failed = errorResponse())
+      return relay(failed);
   if (step == RetryDecision::RelayResponse)
     return relay(attempt);
   if (step == RetryDecision::ReportNotRun)
@@ -332,6 +338,16 @@
   refuse(502, "upstream_broke_off");
 }
 
+Attempt *ActiveRequest::errorResponse() const {
+  const auto found = std::find_if(
+      attempts_.begin(), attempts_.end(), [this](const auto &attempt) {
+        const AttemptReport report = attempt->report();
+        return !route_->isStream && report.isComplete && report.isSigned &&
+               !report.isNotRun;
+      });
+  return found == attempts_.end() ? nullptr : found->get();
+}
+
 void ActiveRequest::rerunStages(Attempt *attempt) {
   if (attempt->responseInfo().areInputsGone)
     triedUpstreams_.pop_back();
