A response that announced no close keeps its connection open in a drain

Cause: a host that began to drain marked every connection to be closed after its response, also those whose response head had gone out without Connection: close. After such a response the connection read and discarded what followed. What callers saw: the next request on a kept connection was read and got no answer; the host logged caller_bytes_discarded when=after_response. Change: only a response whose head announces the close, or a caller that asks for it, ends the connection. After any other response it stays open for the drain's linger time, at least 500 ms, and the next response announces the close. Ruled out: discarding fewer bytes, or closing at once: the caller may have sent.

--- a/include/auburnspring/http/server.h
+++ b/include/auburnspring/http/server.h
@@ -47,8 +47,9 @@
   void setLimits(const ServerLimits &limits) { limits_ = limits; }
   const ServerLimits &limits() const { return limits_; }
 
-  /// Sends "Connection: close" with all further responses and closes
-  /// connections without a request in progress after `linger`.
+  /// Sends "Connection: close" with all further responses. Connections without
+  /// a request in progress, and those whose response began before this call,
+  /// are closed after `linger` unless another request arrives.
   void drain(Duration linger);
   /// Stops accepting and closes connections without a request in progress.
   void close();
--- a/src/auburnspring/http/http_test.cpp
+++ b/src/auburnspring/http/http_test.cpp
@@ -41,6 +41,14 @@
       io.run_one();
   }
 
+  /// Runs the event loop for a fixed time.
+  void runFor(std::chrono::milliseconds span) {
+    asio::steady_timer timer(io, span);
+    bool expired = false;
+    timer.async_wait([&](asio::error_code) { expired = true; });
+    runUntil([&] { return expired; });
+  }
+
   /// Returns everything the server sends until it closes the connection.
   std::string readAll(Tcp::socket *socket) {
     std::string received;
@@ -253,6 +261,36 @@
                                     "Connection: close\r\n\r\nx");
 }
 
+// Guards against LOST: the next request was read and discarded.
+TEST_CASE("a request after a response that announced no close is answered "
+          "although the host drains") {
+  ServerFixture fixture;
+  std::vector<std::shared_ptr<Exchange>> pending;
+  fixture.handler = [&](std::shared_ptr<Exchange> exchange) {
+    pending.push_back(std::move(exchange));
+    if (pending.size() == 2)
+      pending[1]->respond({200, {}}, "two");
+  };
+  Tcp::socket caller = fixture.connect();
+  asio::write(caller, asio::buffer(std::string("GET /1 HTTP/1.1\r\n\r\n")));
+  fixture.runUntil([&] { return pending.size() == 1; });
+  pending[0]->begin({200, {}});
+  pending[0]->write("one");
+  SECTION("within the linger time") {
+    fixture.server.drain(std::chrono::seconds(2));
+  }
+  SECTION("after the linger time") { fixture.server.close(); }
+  pending[0]->end();
+  fixture.runFor(std::chrono::milliseconds(20));
+  asio::write(caller, asio::buffer(std::string("GET /2 HTTP/1.1\r\n\r\n")));
+  CHECK(fixture.readAll(&caller) ==
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "3\r\none\r\n0\r\n\r\n"
+        "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n"
+        "Connection: close\r\n\r\ntwo");
+  CHECK(fixture.server.closedWithBytes() == 0);
+}
+
 TEST_CASE("truncated, reset and malformed responses are not complete") {
   const auto complete =
       callOnce("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc");
--- a/src/auburnspring/http/server_connection.cpp
+++ b/src/auburnspring/http/server_connection.cpp
@@ -4,6 +4,7 @@
 
 #include <asio/write.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace auburnspring::http {
@@ -16,6 +17,9 @@
 /// Closing at once would reset the connection, and the caller could lose the
 /// response.
 constexpr std::chrono::milliseconds CloseLinger(500);
+/// A connection stays open this long after a response that announced no close:
+/// the caller may already be sending its next request.
+constexpr Duration MinIdleTime = std::chrono::milliseconds(500);
 constexpr std::string_view ContinueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
 
 } // namespace
@@ -62,9 +66,15 @@
 }
 
 void ServerConnection::closeWhenIdle(Duration linger) {
-  closeAfterResponse_ = true;
-  if (!exchange_ && !reader_.isInMessage() && unparsed_.empty())
-    armTimer(linger);
+  if (!isIdle())
+    return;
+  const Duration idleTime = steadyNow() - idleSince_;
+  armTimer(responded_ ? std::max(linger, MinIdleTime - idleTime) : linger);
+}
+
+bool ServerConnection::isIdle() const {
+  return !exchange_ && !responseEnded_ && !lingering_ && !rejected_ &&
+         !reader_.isInMessage() && unparsed_.empty();
 }
 
 void ServerConnection::read() {
@@ -219,7 +229,10 @@
     armTimer(CloseLinger);
     return read();
   }
-  armTimer(server_->limits().idleTimeout);
+  responded_ = true;
+  idleSince_ = steadyNow();
+  armTimer(server_->isDraining() ? std::max(server_->linger_, MinIdleTime)
+                                 : server_->limits().idleTimeout);
   parse();
   read();
 }
--- a/src/auburnspring/http/server_connection.h
+++ b/src/auburnspring/http/server_connection.h
@@ -20,8 +20,8 @@
 
   void start();
   void close();
-  /// Closes after `linger` if no request is in progress, else after the
-  /// response.
+  /// Closes after `linger` if no request is in progress, else after a response
+  /// whose head announces it.
   void closeWhenIdle(Duration linger);
 
   void closeAfterFlush();
@@ -42,6 +42,8 @@
   void onWritten();
   void armTimer(Duration span);
   void onTimer();
+  /// True if no request is being received or responded to.
+  bool isIdle() const;
   void notifyDisconnect();
 
   Server *server_;
@@ -53,6 +55,9 @@
   std::string unparsed_;
   std::string body_;
   TimePoint receivedAt_;
+  /// When the last response was written; valid if `responded_`.
+  TimePoint idleSince_;
+  bool responded_ = false;
   std::shared_ptr<Exchange> exchange_;
   std::string outgoing_;
   std::size_t inFlightBytes_ = 0;
