The idle timer closes no connection on which a request has arrived

Cause: when the idle timer expired, the connection was closed although bytes of a request were in its receive buffer, as after the event loop had been busy. What callers saw: a connection reset with their request unread; the host logged caller_bytes_discarded when=idle. Change: the timer is armed again, with the limit for a request's head, and the bytes are read. Nothing is discarded at an idle timeout any more, so when=idle is gone. Evidence: the new test in http_test failed before (no response, one connection closed with bytes) and passes; http_test passes three times (16 cases).

--- a/include/auburnspring/http/server.h
+++ b/include/auburnspring/http/server.h
@@ -58,15 +58,15 @@
   Endpoint endpoint() const;
   bool isDraining() const { return draining_; }
   std::size_t connectionCount() const { return connections_.size(); }
-  /// Connections that were closed although the caller had sent bytes of a
-  /// further request, read or not.
+  /// Connections on which the caller sent bytes of a further request after a
+  /// response that had announced the close.
   std::uint64_t closedWithBytes() const { return closedWithBytes_; }
 
 private:
   friend class ServerConnection;
   void accept();
   void remove(ServerConnection *connection);
-  /// Counts and logs a connection that is closed with bytes of a request.
+  /// Counts and logs a connection on which bytes of a request are discarded.
   void reportClosedWithBytes(std::string_view when, std::size_t bytes);
 
   asio::ip::tcp::acceptor acceptor_;
--- a/src/auburnspring/http/http_test.cpp
+++ b/src/auburnspring/http/http_test.cpp
@@ -291,6 +291,29 @@
   CHECK(fixture.server.closedWithBytes() == 0);
 }
 
+// Guards against LOST: the connection was closed with the request unread.
+TEST_CASE("a request that has arrived when the idle timer expires is read") {
+  ServerFixture fixture;
+  ServerLimits limits;
+  limits.idleTimeout = std::chrono::milliseconds(30);
+  fixture.server.setLimits(limits);
+  fixture.handler = [](const std::shared_ptr<Exchange> &exchange) {
+    exchange->respond({200, {}}, "one");
+  };
+  Tcp::socket caller = fixture.connect();
+  // Its handler runs just before that of the idle timer.
+  asio::steady_timer busy(fixture.io);
+  fixture.runUntil([&] { return fixture.server.connectionCount() == 1; });
+  busy.expires_after(std::chrono::milliseconds(20));
+  busy.async_wait([&](asio::error_code) {
+    asio::write(caller, asio::buffer(std::string("GET /1 HTTP/1.1\r\n\r\n")));
+  });
+  std::this_thread::sleep_for(std::chrono::milliseconds(60));
+  CHECK(fixture.readAll(&caller) ==
+        "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\none");
+  CHECK(fixture.server.closedWithBytes() == 0);
+}
+
 TEST_CASE("truncated, reset and malformed responses are not complete") {
   const auto complete =
       callOnce("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc");
--- a/src/auburnspring/http/server_connection.cpp
+++ b/src/auburnspring/http/server_connection.cpp
@@ -251,9 +251,9 @@
   if (!lingering_ && reader_.isInMessage())
     return reject(408);
   asio::error_code ignored;
-  const std::size_t unread = lingering_ ? 0 : socket_.available(ignored);
-  if (unread > 0)
-    server_->reportClosedWithBytes("idle", unread);
+  // The event loop was busy: bytes of a request have arrived in time.
+  if (!lingering_ && socket_.available(ignored) > 0)
+    return armTimer(server_->limits().headTimeout);
   close();
 }
 
