A raised idle timeout applies to connections that idle already

Cause: an idle connection kept the timer of the limit in force when it began to idle. What callers saw: after a configuration had raised the limit, a connection that they used within the new limit was closed, at times just as their request arrived. Change: setLimits() arms the timers of idle connections again if the limit was raised, for what is left since they began to idle. A lowered limit applies from the next response on, and a draining server's linger time stands.

--- a/include/auburnspring/http/server.h
+++ b/include/auburnspring/http/server.h
@@ -43,8 +43,9 @@
 
   absl::Status listen(const Endpoint &endpoint);
 
-  /// Applies to open connections from their next request on.
-  void setLimits(const ServerLimits &limits) { limits_ = limits; }
+  /// Applies to open connections from their next request on; a raised idle
+  /// timeout also to those that are idle.
+  void setLimits(const ServerLimits &limits);
   const ServerLimits &limits() const { return limits_; }
 
   /// Sends "Connection: close" with all further responses. Connections without
--- a/src/auburnspring/http/http_test.cpp
+++ b/src/auburnspring/http/http_test.cpp
@@ -314,6 +314,51 @@
   CHECK(fixture.server.closedWithBytes() == 0);
 }
 
+// Guards against LOST: the connection was closed at the older, lower limit.
+TEST_CASE("a raised idle timeout applies to connections that are idle") {
+  ServerFixture fixture;
+  ServerLimits limits;
+  limits.idleTimeout = std::chrono::milliseconds(100);
+  fixture.server.setLimits(limits);
+  fixture.handler = [](const std::shared_ptr<Exchange> &exchange) {
+    exchange->respond({200, {}}, "one");
+  };
+  const std::string response =
+      "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\none";
+  const std::string request = "GET / HTTP/1.1\r\n\r\n";
+  std::string expected;
+  Tcp::socket caller = fixture.connect();
+  SECTION("before the first request") {}
+  SECTION("after a response") {
+    asio::write(caller, asio::buffer(request));
+    expected = response;
+  }
+  fixture.runFor(std::chrono::milliseconds(40));
+  limits.idleTimeout = std::chrono::milliseconds(400);
+  fixture.server.setLimits(limits);
+  fixture.runFor(std::chrono::milliseconds(200));
+  asio::write(caller, asio::buffer(request));
+  CHECK(fixture.readAll(&caller) == expected + response);
+}
+
+TEST_CASE("a lowered idle timeout applies from the next response on") {
+  ServerFixture fixture;
+  ServerLimits limits;
+  limits.idleTimeout = std::chrono::seconds(20);
+  fixture.server.setLimits(limits);
+  fixture.handler = [](const std::shared_ptr<Exchange> &exchange) {
+    exchange->respond({200, {}}, "one");
+  };
+  Tcp::socket caller = fixture.connect();
+  fixture.runFor(std::chrono::milliseconds(20));
+  limits.idleTimeout = std::chrono::milliseconds(50);
+  fixture.server.setLimits(limits);
+  fixture.runFor(std::chrono::milliseconds(150));
+  asio::write(caller, asio::buffer(std::string("GET / HTTP/1.1\r\n\r\n")));
+  CHECK(fixture.readAll(&caller) ==
+        "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\none");
+}
+
 TEST_CASE("truncated, reset and malformed responses are not complete") {
   const auto complete =
       callOnce("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc");
--- a/src/auburnspring/http/server.cpp
+++ b/src/auburnspring/http/server.cpp
@@ -86,6 +86,12 @@
             {"draining", draining_}});
 }
 
+void Server::setLimits(const ServerLimits &limits) {
+  limits_ = limits;
+  for (const auto &connection : connections_)
+    connection->onLimitsChanged();
+}
+
 void Server::drain(Duration linger) {
   draining_ = true;
   linger_ = linger;
--- a/src/auburnspring/http/server_connection.cpp
+++ b/src/auburnspring/http/server_connection.cpp
@@ -41,7 +41,7 @@
 void ServerConnection::start() {
   asio::error_code ignored;
   socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
-  armTimer(server_->limits().idleTimeout);
+  beginIdle();
   read();
 }
 
@@ -72,6 +72,22 @@
   armTimer(responded_ ? std::max(linger, MinIdleTime - idleTime) : linger);
 }
 
+void ServerConnection::beginIdle() {
+  idleSince_ = steadyNow();
+  idleTimeout_ = server_->limits().idleTimeout;
+  armTimer(responded_ && server_->isDraining()
+               ? std::max(server_->linger_, MinIdleTime)
+               : idleTimeout_);
+}
+
+void ServerConnection::onLimitsChanged() {
+  const Duration raised = server_->limits().idleTimeout;
+  if (raised <= idleTimeout_ || server_->isDraining() || !isIdle())
+    return;
+  idleTimeout_ = raised;
+  armTimer(idleTimeout_ - (steadyNow() - idleSince_));
+}
+
 bool ServerConnection::isIdle() const {
   return !exchange_ && !responseEnded_ && !lingering_ && !rejected_ &&
          !reader_.isInMessage() && unparsed_.empty();
@@ -230,9 +246,7 @@
     return read();
   }
   responded_ = true;
-  idleSince_ = steadyNow();
-  armTimer(server_->isDraining() ? std::max(server_->linger_, MinIdleTime)
-                                 : server_->limits().idleTimeout);
+  beginIdle();
   parse();
   read();
 }
--- a/src/auburnspring/http/server_connection.h
+++ b/src/auburnspring/http/server_connection.h
@@ -24,6 +24,9 @@
   /// whose head announces it.
   void closeWhenIdle(Duration linger);
 
+  /// Applies a raised idle timeout if the connection is idle.
+  void onLimitsChanged();
+
   void closeAfterFlush();
 
   void writeHead(ResponseHead response, bool chunked);
@@ -42,6 +45,8 @@
   void onWritten();
   void armTimer(Duration span);
   void onTimer();
+  /// Starts to wait for the next request.
+  void beginIdle();
   /// True if no request is being received or responded to.
   bool isIdle() const;
   void notifyDisconnect();
@@ -55,8 +60,10 @@
   std::string unparsed_;
   std::string body_;
   TimePoint receivedAt_;
-  /// When the last response was written; valid if `responded_`.
+  /// When the connection opened or the last response was written.
   TimePoint idleSince_;
+  /// Limit on the idle time since then.
+  Duration idleTimeout_{0};
   bool responded_ = false;
   std::shared_ptr<Exchange> exchange_;
   std::string outgoing_;
