A response without end in its head or framing ends the call

Cause: http::ClientCall bounded only one head at a time. Interim responses, responses to other requests and chunk extensions could follow each other without end. What callers saw: a request that waited until its deadline, while the host read and discarded bytes at the speed of the link. Change: a call bounds all bytes that are no body (64 KB, and 16 for each byte of the body, since a body may come in chunks of one byte), all skipped responses (8 MB) and, if its owner sets a limit, the body. Beyond a limit the connection is closed, the call ends as Failed, and one line response_unbounded names upstream, part and bytes.

--- a/src/auburnspring/http/client_call.cpp
+++ b/src/auburnspring/http/client_call.cpp
@@ -1,5 +1,6 @@
 #include "auburnspring/http/client_call.h"
 
+#include "auburnspring/base/log.h"
 #include "auburnspring/http/message_reader.h"
 
 #include <asio/connect.hpp>
@@ -49,6 +50,7 @@
 
   void start(const RequestHead &head, std::string_view body);
   void cancel();
+  void endUnbounded(std::string_view part, std::size_t bytes);
   bool mayHaveBeenSent() const { return mayHaveBeenSent_; }
 
 private:
@@ -58,6 +60,8 @@
   void onHead();
   void onBody(std::string_view bytes);
   void onMessage();
+  /// Counts bytes of the current message; `bodyBytes` of them are its body.
+  void count(std::size_t bytes, std::size_t bodyBytes);
   void end(CallStatus status, std::string_view reason);
   void closeSocket();
 
@@ -69,7 +73,12 @@
   std::string outgoing_;
   std::array<char, 16 << 10> buffer_{};
   bool mayHaveBeenSent_ = false;
+  std::size_t headBytes_ = 0;
+  std::size_t bodyBytes_ = 0;
+  std::size_t skippedBytes_ = 0;
+  /// True within the body of a response that is skipped.
   bool skippingResponse_ = false;
+  bool isInterim_ = false;
   bool ended_ = false;
 };
 
@@ -145,28 +154,52 @@
 void ClientCall::Impl::onRead(std::size_t bytes) {
   std::string_view remaining(buffer_.data(), bytes);
   while (!remaining.empty() && !ended_) {
+    const std::size_t bodyBytesBefore = bodyBytes_;
     const absl::StatusOr<std::size_t> consumed = reader_.feed(remaining);
     if (ended_)
       return;
+    if (reader_.isHeadTooLarge())
+      return endUnbounded("head", headBytes_ + remaining.size());
     if (!consumed.ok())
       return end(CallStatus::Failed, std::string(consumed.status().message()));
+    count(*consumed, bodyBytes_ - bodyBytesBefore);
     remaining.remove_prefix(*consumed);
   }
   if (!ended_)
     read();
 }
 
+void ClientCall::Impl::count(std::size_t bytes, std::size_t bodyBytes) {
+  if (skippingResponse_ && !isInterim_) {
+    skippedBytes_ += bytes;
+    if (skippedBytes_ > options_.maxSkippedBytes)
+      endUnbounded("skipped", skippedBytes_);
+  } else {
+    headBytes_ += bytes - bodyBytes;
+    if (headBytes_ >
+        options_.maxHeadBytes + bodyBytes_ * FramingBytesPerBodyByte)
+      endUnbounded("head", headBytes_);
+  }
+  if (!reader_.isInMessage())
+    skippingResponse_ = false;
+}
+
 void ClientCall::Impl::onHead() {
   ResponseHead head{reader_.status(), reader_.headers()};
+  isInterim_ = head.status / 100 == 1;
   skippingResponse_ =
-      head.status / 100 == 1 ||
-      (options_.matchesRequest && !options_.matchesRequest(head));
+      isInterim_ || (options_.matchesRequest && !options_.matchesRequest(head));
   if (!skippingResponse_ && callbacks_.onHead)
     callbacks_.onHead(std::move(head));
 }
 
 void ClientCall::Impl::onBody(std::string_view bytes) {
-  if (!ended_ && !skippingResponse_ && callbacks_.onBody)
+  if (ended_ || skippingResponse_)
+    return;
+  bodyBytes_ += bytes.size();
+  if (bodyBytes_ > options_.maxBodyBytes)
+    return endUnbounded("body", bodyBytes_);
+  if (callbacks_.onBody)
     callbacks_.onBody(bytes);
 }
 
@@ -187,6 +220,17 @@
     onEnd(status, reason);
 }
 
+void ClientCall::Impl::endUnbounded(std::string_view part, std::size_t bytes) {
+  if (ended_)
+    return;
+  logEvent(LogLevel::Warning, "response_unbounded",
+           {{"upstream", options_.upstream.empty() ? toString(options_.endpoint)
+                                                   : options_.upstream},
+            {"in", std::string(part)},
+            {"bytes", static_cast<unsigned long>(bytes)}});
+  end(CallStatus::Failed, "response without end");
+}
+
 void ClientCall::Impl::cancel() {
   ended_ = true;
   closeSocket();
@@ -207,6 +251,11 @@
   impl_->start(head, body);
 }
 void ClientCall::cancel() { impl_->cancel(); }
+void ClientCall::endUnbounded(std::string_view part, std::size_t bytes) {
+  // The call may be destroyed in its last callback.
+  const std::shared_ptr<Impl> impl = impl_;
+  impl->endUnbounded(part, bytes);
+}
 bool ClientCall::mayHaveBeenSent() const { return impl_->mayHaveBeenSent(); }
 
 } // namespace auburnspring::http
