Bytes without end from an upstream end an attempt, not the response

Cause: a body above 8 MB and an event above 256 KB ended the caller's response at once, and neither counted against the upstream. Nothing but the deadline bounded comments, empty lines, events that the caller already has, and events without end. What callers saw: 502 or a closed connection although another upstream could have gone on; or a stream of comments until its deadline. Change: a stream meter bounds what comes between two events (256 KB), repeated events (8 MB) and, if the request states its output tokens, the events of a stream. Beyond a limit, as for a body above 8 MB, the attempt ends as failed: it counts against the upstream's health and decideRetry() decides as after a lost connection. Complete events of the same read are forwarded first, so that a resumed stream misses none. Ruled out: a limit on the bytes of a whole stream: no field of a request bounds them. Result: only an upstream's bytes end, not what its caller waits for.

--- a/include/auburnspring/serving/active_request.h
+++ b/include/auburnspring/serving/active_request.h
@@ -68,6 +68,7 @@
   void onBody(Attempt *attempt, std::string_view bytes);
   void recordEventTime(TimePoint now);
   void onEvents(Attempt *attempt, std::string_view bytes);
+  void forwardEvents(Attempt *attempt, std::string_view events);
   void startStream(Attempt *attempt);
   /// Makes the attempt the only one, since its events are forwarded now.
   void keepOnly(Attempt *attempt);
--- a/include/auburnspring/serving/attempt.h
+++ b/include/auburnspring/serving/attempt.h
@@ -6,6 +6,7 @@
 #include "auburnspring/http/client_call.h"
 #include "auburnspring/serving/dialect.h"
 #include "auburnspring/serving/event_splitter.h"
+#include "auburnspring/serving/stream_meter.h"
 
 #include <functional>
 #include <memory>
@@ -45,6 +46,9 @@
              const std::string &requestId, TimePoint now);
   /// Closes the connection; no further event follows.
   void cancel();
+  /// Ends the attempt as failed, since `part` of the response has no end within
+  /// `bytes`.
+  void endUnbounded(std::string_view part, std::size_t bytes);
 
   /// Called at the first event of a stream: the engine has finished prefill.
   void notePrefillDone();
@@ -57,6 +61,7 @@
   std::string &body() { return body_; }
   /// Splits the body of a stream.
   EventSplitter &splitter() { return splitter_; }
+  StreamMeter &meter() { return meter_; }
   TimePoint startedAt() const { return startedAt_; }
   bool hasEnded() const { return ended_; }
   http::CallStatus callStatus() const { return callStatus_; }
@@ -77,6 +82,7 @@
   ResponseInfo responseInfo_;
   std::string body_;
   EventSplitter splitter_;
+  StreamMeter meter_;
   std::string requestId_;
   TimePoint startedAt_;
   bool prefillDone_ = false;
--- a/include/auburnspring/serving/event_splitter.h
+++ b/include/auburnspring/serving/event_splitter.h
@@ -13,6 +13,8 @@
 struct StreamEvent {
   std::string bytes;
   std::optional<std::int64_t> id;
+  /// False for comments and empty lines.
+  bool hasData = false;
 };
 
 /// Splits a text/event-stream into events.
@@ -26,7 +28,6 @@
 
   /// True if the last event is incomplete.
   bool hasPartialEvent() const { return !partial_.empty(); }
-  bool isTooLarge() const { return partial_.size() > MaxEventBytes; }
 
 private:
   std::string partial_;
--- a/src/auburnspring/serving/active_request_attempts.cpp
+++ b/src/auburnspring/serving/active_request_attempts.cpp
@@ -112,6 +112,7 @@
       self->onAttemptEnd(raw);
   };
   raw->setEvents(std::move(events));
+  raw->meter().setOutputTokens(request_.outputTokens);
   attempts_.push_back(std::move(attempt));
   raw->start(context_->dialect->upstreamRequestHead(exchange_->head,
                                                     forwardingParams(*upstream),
@@ -133,7 +134,7 @@
     return;
   // A truncated body must not be forwarded as a complete one.
   if (attempt->body().size() + bytes.size() > MaxResponseBytes)
-    return refuse(502, "response_too_large");
+    return attempt->endUnbounded("body", attempt->body().size() + bytes.size());
   attempt->body().append(bytes);
 }
 
@@ -149,24 +150,31 @@
   if (done_)
     return;
   std::string out;
+  attempt->meter().addBytes(bytes.size());
   for (const StreamEvent &event : attempt->splitter().feed(bytes)) {
     // A resumed stream may repeat events that the caller has received.
-    if (event.id && lastEventId_ && *event.id <= *lastEventId_)
+    const bool isRepeated =
+        event.id && lastEventId_ && *event.id <= *lastEventId_;
+    attempt->meter().addEvent(event, isRepeated);
+    if (isRepeated)
       continue;
     out += event.bytes;
     if (event.id)
       lastEventId_ = event.id;
   }
-  if (attempt->splitter().isTooLarge())
-    return abortStream("event_too_large");
-  if (out.empty())
-    return;
+  if (!out.empty())
+    forwardEvents(attempt, out);
+  if (!done_ && attempt->meter().isExceeded())
+    attempt->endUnbounded("event", attempt->meter().bytes());
+}
+
+void ActiveRequest::forwardEvents(Attempt *attempt, std::string_view events) {
   keepOnly(attempt);
   recordEventTime(steadyNow());
   if (!streamStarted_)
     startStream(attempt);
   attempt->notePrefillDone();
-  exchange_->write(out);
+  exchange_->write(events);
   if (exchange_->pendingBytes() > MaxPendingBytes)
     return abortStream("caller_reads_too_slowly");
   armStallTimer();
--- a/src/auburnspring/serving/attempt.cpp
+++ b/src/auburnspring/serving/attempt.cpp
@@ -19,6 +19,7 @@
   upstream_->reservedTokens += tokens_.kvCache;
   http::CallOptions options;
   options.endpoint = upstream_->entry.endpoint;
+  options.upstream = upstream_->entry.id;
   options.matchesRequest = [this](const http::ResponseHead &response) {
     const ResponseInfo responseInfo = dialect_->parseResponseHead(response);
     return responseInfo.id.empty() || responseInfo.id == requestId_;
@@ -49,6 +50,11 @@
   releaseLoad();
 }
 
+void Attempt::endUnbounded(std::string_view part, std::size_t bytes) {
+  if (call_)
+    call_->endUnbounded(part, bytes);
+}
+
 void Attempt::notePrefillDone() {
   if (prefillDone_ || loadReleased_)
     return;
