--- a/include/auburnspring/http/server.h
+++ b/include/auburnspring/http/server.h
@@ -43,12 +43,14 @@
 
   absl::Status listen(const Endpoint &endpoint);
 
-  /// Applies to open connections from their next request on.
-  void setLimits(const ServerLimits &limits) { limits_ = limits; }
+  /// Applies to open connections from their next request on; a raised idle
+  /// timeout also to those that are idle.
+  void setLimits(const ServerLimits &limits);
   const ServerLimits &limits() const { return limits_; }
 
-  /// Sends "Connection: close" with all further responses and closes
-  /// connections without a request in progress after `linger`.
+  /// Sends "Connection: close" with all further responses. Connections without
+  /// a request in progress, and those whose response began before this call,
+  /// are closed after `linger` unless another request arrives.
   void drain(Duration linger);
   /// Stops accepting and closes connections without a request in progress.
   void close();
@@ -57,15 +59,15 @@
   Endpoint endpoint() const;
   bool isDraining() const { return draining_; }
   std::size_t connectionCount() const { return connections_.size(); }
-  /// Connections that were closed although the caller had sent bytes of a
-  /// further request, read or not.
+  /// Connections on which the caller sent bytes of a further request after a
+  /// response that had announced the close.
   std::uint64_t closedWithBytes() const { return closedWithBytes_; }
 
 private:
   friend class ServerConnection;
   void accept();
   void remove(ServerConnection *connection);
-  /// Counts and logs a connection that is closed with bytes of a request.
+  /// Counts and logs a connection on which bytes of a request are discarded.
   void reportClosedWithBytes(std::string_view when, std::size_t bytes);
 
   asio::ip::tcp::acceptor acceptor_;
--- a/src/auburnspring/http/server_connection.cpp
+++ b/src/auburnspring/http/server_connection.cpp
@@ -4,6 +4,7 @@
 
 #include <asio/write.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace auburnspring::http {
@@ -16,6 +17,9 @@
 /// Closing at once would reset the connection, and the caller could lose the
 /// response.
 constexpr std::chrono::milliseconds CloseLinger(500);
+/// A connection stays open this long after a response that announced no close:
+/// the caller may already be sending its next request.
+constexpr Duration MinIdleTime = std::chrono::milliseconds(500);
 constexpr std::string_view ContinueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
 
 } // namespace
@@ -37,7 +41,7 @@
 void ServerConnection::start() {
   asio::error_code ignored;
   socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
-  armTimer(server_->limits().idleTimeout);
+  beginIdle();
   read();
 }
 
@@ -62,9 +66,31 @@
 }
 
 void ServerConnection::closeWhenIdle(Duration linger) {
-  closeAfterResponse_ = true;
-  if (!exchange_ && !reader_.isInMessage() && unparsed_.empty())
-    armTimer(linger);
+  if (!isIdle())
+    return;
+  const Duration idleTime = steadyNow() - idleSince_;
+  armTimer(responded_ ? std::max(linger, MinIdleTime - idleTime) : linger);
+}
+
+void ServerConnection::beginIdle() {
+  idleSince_ = steadyNow();
+  idleTimeout_ = server_->limits().idleTimeout;
+  armTimer(responded_ && server_->isDraining()
+               ? std::max(server_->linger_, MinIdleTime)
+               : idleTimeout_);
+}
+
+void ServerConnection::onLimitsChanged() {
+  const Duration raised = server_->limits().idleTimeout;
+  if (raised <= idleTimeout_ || server_->isDraining() || !isIdle())
+    return;
+  idleTimeout_ = raised;
+  armTimer(idleTimeout_ - (steadyNow() - idleSince_));
+}
+
+bool ServerConnection::isIdle() const {
+  return !exchange_ && !responseEnded_ && !lingering_ && !rejected_ &&
+         !reader_.isInMessage() && unparsed_.empty();
 }
 
 void ServerConnection::read() {
@@ -219,7 +245,8 @@
     armTimer(CloseLinger);
     return read();
   }
-  armTimer(server_->limits().idleTimeout);
+  responded_ = true;
+  beginIdle();
   parse();
   read();
 }
@@ -238,9 +265,9 @@
   if (!lingering_ && reader_.isInMessage())
     return reject(408);
   asio::error_code ignored;
-  const std::size_t unread = lingering_ ? 0 : socket_.available(ignored);
-  if (unread > 0)
-    server_->reportClosedWithBytes("idle", unread);
+  // The event loop was busy: bytes of a request have arrived in time.
+  if (!lingering_ && socket_.available(ignored) > 0)
+    return armTimer(server_->limits().headTimeout);
   close();
 }
 
--- a/src/auburnspring/http/server_connection.h
+++ b/src/auburnspring/http/server_connection.h
@@ -20,10 +20,13 @@
 
   void start();
   void close();
-  /// Closes after `linger` if no request is in progress, else after the
-  /// response.
+  /// Closes after `linger` if no request is in progress, else after a response
+  /// whose head announces it.
   void closeWhenIdle(Duration linger);
 
+  /// Applies a raised idle timeout if the connection is idle.
+  void onLimitsChanged();
+
   void closeAfterFlush();
 
   void writeHead(ResponseHead response, bool chunked);
@@ -42,6 +45,10 @@
   void onWritten();
   void armTimer(Duration span);
   void onTimer();
+  /// Starts to wait for the next request.
+  void beginIdle();
+  /// True if no request is being received or responded to.
+  bool isIdle() const;
   void notifyDisconnect();
 
   Server *server_;
@@ -53,6 +60,11 @@
   std::string unparsed_;
   std::string body_;
   TimePoint receivedAt_;
+  /// When the connection opened or the last response was written.
+  TimePoint idleSince_;
+  /// Limit on the idle time since then.
+  Duration idleTimeout_{0};
+  bool responded_ = false;
   std::shared_ptr<Exchange> exchange_;
   std::string outgoing_;
   std::size_t inFlightBytes_ = 0;
