A batch call without known limits does not bar its upstream

Cause: a batching host whose configuration lacks a pool has no expected time for its calls; the ratio of actual to expected time became infinite and then no number, and stayed so, and is handed to the next batching host. What callers saw: by reading, a pool of upstreams that look slow for ever on a host that got jobs before its configuration. Change: such a call changes no ratio.

--- a/src/auburnspring/decision/piece_batcher.cpp
+++ b/src/auburnspring/decision/piece_batcher.cpp
@@ -489,7 +489,10 @@
               DelaySlack)
         upstream->lastDelayAt = now;
       upstream->lastResponseAt = now;
-      upstream->slowdownRatio += (ratio - upstream->slowdownRatio) * EwmaWeight;
+      // Without known limits nothing is expected of a call.
+      if (call.expected > Duration(0))
+        upstream->slowdownRatio +=
+            (ratio - upstream->slowdownRatio) * EwmaWeight;
       recordResponse(upstream->state.get(), now - call.startedAt, now);
     }
     for (std::size_t i = 0; i < results.size(); ++i)
