A second attempt that comes too late ends no response

Cause: with less than ten milliseconds left, the start of a second attempt ended the request although the first one was in progress. What callers saw: by reading, an end up to ten milliseconds before the deadline. Change: the deadline's own timer ends it. Evidence: found by the review; no test of its own, the window is ten milliseconds.

--- a/src/auburnspring/serving/active_request_attempts.cpp
+++ b/src/auburnspring/serving/active_request_attempts.cpp
@@ -57,8 +57,11 @@
 void ActiveRequest::dispatch() {
   if (done_)
     return;
-  if (timeLeft() < MinAttemptTime)
-    return onDeadline();
+  if (timeLeft() < MinAttemptTime) {
+    if (!hasLiveAttempt())
+      onDeadline();
+    return;
+  }
   const EngineChoice choice = selectUpstream(plan_.finalResults());
   if (choice.engine == nullptr) {
     if (hasLiveAttempt())
