Upstreams have a software version, which a placement may require

Cause: an upstream's entry names the version of its software, and nothing read it. What callers saw: nothing yet; no request requires a version before the next commits. The version belongs to the incarnation. PlacementRequest::softwareVersion leaves out every other version at each level of health, for plain upstreams and engines.

--- a/include/auburnspring/decision/placement.h
+++ b/include/auburnspring/decision/placement.h
@@ -8,8 +8,10 @@
 #include <absl/types/span.h>
 
 #include <cstdint>
+#include <optional>
 #include <random>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace auburnspring {
@@ -28,6 +30,9 @@
   std::int64_t outputTokens = 0;
   /// Ids of upstreams that have already been sent this request.
   absl::Span<const std::string> avoid;
+  /// The only software version that may serve the request, since a stream goes
+  /// on at the version that began it; any if not set.
+  std::optional<std::string_view> softwareVersion;
   /// Data centre of each stage result that the upstream will fetch.
   absl::Span<const std::string> inputDataCentres;
   /// Speed at which the engines of the pool prefill.
--- a/include/auburnspring/decision/upstream_entry.h
+++ b/include/auburnspring/decision/upstream_entry.h
@@ -15,6 +15,9 @@
   std::string pool;
   Endpoint endpoint;
   std::string dataCentre;
+  /// Version of the software that it runs, not of a model's weights. Upstreams
+  /// of several may serve side by side in one pool.
+  std::string softwareVersion;
   std::int64_t slots = 1;
   bool isLeaving = false;
   /// Remaining warm-up time, in which it is slower.
--- a/include/auburnspring/decision/upstream_registry.h
+++ b/include/auburnspring/decision/upstream_registry.h
@@ -5,7 +5,9 @@
 
 #include <deque>
 #include <map>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -54,8 +56,13 @@
   bool markLeaving(UpstreamState *upstream);
 
   /// Time until an upstream of the pool takes requests of this host again; 0 if
-  /// one does now or there is none.
-  Duration refusalTime(const std::string &pool, TimePoint now) const;
+  /// one does now or there is none. Only upstreams of the software version
+  /// count, if one is given.
+  Duration refusalTime(
+      const std::string &pool, TimePoint now,
+      std::optional<std::string_view> softwareVersion = std::nullopt) const;
+  /// True if an upstream of the software version is in the pool.
+  bool lists(const std::string &pool, std::string_view softwareVersion) const;
 
   /// Drops expired entries whose grace period is over; returns their keys.
   std::vector<std::string> dropExpired(TimePoint now);
--- a/include/auburnspring/decision/upstream_state.h
+++ b/include/auburnspring/decision/upstream_state.h
@@ -6,7 +6,9 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 
 namespace auburnspring {
@@ -62,6 +64,12 @@
   }
 };
 
+/// True if the upstream runs the software version; if none is given, any does.
+inline bool hasVersion(const UpstreamState &upstream,
+                       std::optional<std::string_view> softwareVersion) {
+  return !softwareVersion || upstream.entry.softwareVersion == *softwareVersion;
+}
+
 using UpstreamStatePtr = std::shared_ptr<UpstreamState>;
 
 } // namespace auburnspring
--- a/include/auburnspring/serving/dialect.h
+++ b/include/auburnspring/serving/dialect.h
@@ -36,6 +36,12 @@
   std::string pieceKey;
   /// Id of the last event that the caller has received.
   std::optional<std::int64_t> lastEventId;
+  /// Id of the request that brought the first event of the stream that this
+  /// request resumes; empty if not set.
+  std::string resumedId;
+
+  /// The caller has received events of the stream before.
+  bool isResumption() const { return lastEventId || !resumedId.empty(); }
 };
 
 /// What is added to a request that is forwarded to an upstream.
--- a/src/auburnspring/decision/placement.cpp
+++ b/src/auburnspring/decision/placement.cpp
@@ -59,7 +59,8 @@
   std::vector<UpstreamStatePtr> found;
   for (const Filter filter : Filters) {
     for (const UpstreamStatePtr &upstream : upstreams)
-      if (filter(*upstream, now) && !isAvoided(*upstream, request.avoid))
+      if (filter(*upstream, now) && !isAvoided(*upstream, request.avoid) &&
+          hasVersion(*upstream, request.softwareVersion))
         found.push_back(upstream);
     if (!found.empty())
       break;
--- a/src/auburnspring/decision/upstream_registry.cpp
+++ b/src/auburnspring/decision/upstream_registry.cpp
@@ -9,7 +9,8 @@
 bool UpstreamRegistry::isSameIncarnation(const UpstreamEntry &a,
                                          const UpstreamEntry &b) {
   return a.startedAtMillis == b.startedAtMillis &&
-         a.endpoint.ip == b.endpoint.ip && a.endpoint.port == b.endpoint.port;
+         a.endpoint.ip == b.endpoint.ip && a.endpoint.port == b.endpoint.port &&
+         a.softwareVersion == b.softwareVersion;
 }
 
 void UpstreamRegistry::recordDeparture(const std::string &key,
@@ -103,16 +104,26 @@
   storeAvailableSince_ = now;
 }
 
-Duration UpstreamRegistry::refusalTime(const std::string &name,
-                                       TimePoint now) const {
+Duration UpstreamRegistry::refusalTime(
+    const std::string &name, TimePoint now,
+    std::optional<std::string_view> softwareVersion) const {
   std::optional<TimePoint> earliest;
   for (const UpstreamStatePtr &upstream : pool(name))
-    if (!upstream->isLeaving)
+    if (!upstream->isLeaving && hasVersion(*upstream, softwareVersion))
       earliest = std::min(earliest.value_or(upstream->refusesUntil),
                           upstream->refusesUntil);
   return earliest ? std::max(Duration(0), *earliest - now) : Duration(0);
 }
 
+bool UpstreamRegistry::lists(const std::string &name,
+                             std::string_view softwareVersion) const {
+  const std::vector<UpstreamStatePtr> &members = pool(name);
+  return std::any_of(
+      members.begin(), members.end(), [&](const UpstreamStatePtr &upstream) {
+        return !upstream->isLeaving && hasVersion(*upstream, softwareVersion);
+      });
+}
+
 std::vector<std::string> UpstreamRegistry::dropExpired(TimePoint now) {
   std::vector<std::string> removed;
   if (storeUnavailable_ || now < storeAvailableSince_ + ExpiryGrace)
--- a/src/auburnspring/decision/upstream_registry_test.cpp
+++ b/src/auburnspring/decision/upstream_registry_test.cpp
@@ -127,3 +127,37 @@
   b->ejectedUntil = at(5000);
   CHECK(place(1500) == b);
 }
+
+TEST_CASE("an entry with another software version is another incarnation") {
+  UpstreamRegistry registry;
+  UpstreamEntry first = entry("a");
+  first.softwareVersion = "v1";
+  UpstreamEntry second = first;
+  second.softwareVersion = "v2";
+  registry.put("s/a", first, at(0));
+  const UpstreamStatePtr before = registry.byId("a");
+  CHECK(registry.put("s/a", second, at(10)) == Change::Joined);
+  CHECK(before->isLeaving);
+  CHECK(before->entry.softwareVersion == "v1");
+  CHECK(registry.byId("a") != before);
+  CHECK(registry.byId("a")->entry.softwareVersion == "v2");
+}
+
+TEST_CASE("whether and when upstreams of one software version take requests") {
+  UpstreamRegistry registry;
+  UpstreamEntry first = entry("a");
+  first.softwareVersion = "v1";
+  UpstreamEntry second = entry("b");
+  second.softwareVersion = "v2";
+  registry.put("s/a", first, at(0));
+  registry.put("s/b", second, at(0));
+  registry.byId("a")->refusesUntil = at(2000);
+  CHECK(registry.refusalTime("p", at(0), "v1") == std::chrono::seconds(2));
+  CHECK(registry.refusalTime("p", at(0), "v2") == Duration(0));
+  CHECK(registry.refusalTime("p", at(0)) == Duration(0));
+  CHECK(registry.lists("p", "v1"));
+  CHECK_FALSE(registry.lists("p", "v3"));
+  CHECK_FALSE(registry.lists("q", "v1"));
+  registry.byId("a")->isLeaving = true;
+  CHECK_FALSE(registry.lists("p", "v1"));
+}
