--- a/include/auburnspring/decision/peer_message.h
+++ b/include/auburnspring/decision/peer_message.h
@@ -7,8 +7,10 @@
 #include "auburnspring/decision/stage_job.h"
 #include "auburnspring/decision/store_item.h"
 #include "auburnspring/decision/store_version.h"
+#include "auburnspring/decision/stream_origin.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -129,6 +131,9 @@
   std::int64_t configurationVersion = 0;
   std::vector<UpstreamLoad> loads;
   std::vector<UpstreamNotice> notices;
+  /// Origins of streams that the sender has recorded since its last heartbeat;
+  /// empty in a fleet whose heartbeats do not reach all hosts.
+  std::vector<StreamOrigin> origins;
 };
 
 /// Submits jobs to the batching host of their pools. Times are sent as time
@@ -198,12 +203,32 @@
   std::string value;
 };
 
+/// Origins of streams that the sender has recorded, outside of heartbeats.
+struct StreamOriginsUpdate {
+  std::vector<StreamOrigin> origins;
+};
+
+/// Asks where a stream began.
+struct StreamOriginQuery {
+  /// Assigned by the sender; the reply carries it.
+  std::uint64_t number = 0;
+  /// Id of the request that brought the stream's first event.
+  std::string id;
+};
+
+struct StreamOriginReply {
+  std::uint64_t number = 0;
+  /// Not set if the sender does not know the stream.
+  std::optional<StreamOrigin> origin;
+};
+
 using PeerMessage =
     std::variant<Ping, Ack, BundleRequest, BundleReply, LedgerForward,
                  LedgerForwardReply, HostHeartbeat, JobSubmit, JobCancel,
                  ResultRelease, JobOutcomes, BatcherProbe, ReplicaRequest,
                  ReplicaReply, StoreVersionUpdate, OperatorConfigurationRequest,
-                 OperatorConfigurationReply>;
+                 OperatorConfigurationReply, StreamOriginsUpdate,
+                 StreamOriginQuery, StreamOriginReply>;
 
 } // namespace auburnspring
 
--- /dev/null
+++ b/include/auburnspring/decision/stream_origins.h
@@ -0,0 +1,67 @@
+#ifndef AUBURNSPRING_DECISION_STREAM_ORIGINS_H
+#define AUBURNSPRING_DECISION_STREAM_ORIGINS_H
+
+#include "auburnspring/decision/stream_origin.h"
+
+#include <cstddef>
+#include <deque>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace auburnspring {
+
+/// The origins of recent streams, of this host and of its peers. An origin is
+/// recorded when a stream is dispatched, so that peers know it before the
+/// caller has the first event.
+class StreamOrigins {
+public:
+  /// Beyond this number the origins that expire first are dropped.
+  static constexpr std::size_t MaxOrigins = 32768;
+  /// Beyond this number the oldest that are to be announced are not.
+  static constexpr std::size_t MaxPending = 4096;
+  static constexpr Duration MaxRetention = std::chrono::minutes(10);
+  /// Streams of requests with longer ids are not recorded.
+  static constexpr std::size_t MaxIdBytes = 128;
+
+  /// Who recorded an origin.
+  enum class Source { Own, Peer };
+  struct Found {
+    StreamOrigin origin;
+    Source source = Source::Own;
+  };
+
+  /// Records the origin of a stream of this host, to be announced unless it is
+  /// known. True if it differs from one that may have been announced.
+  bool record(StreamOrigin origin, TimePoint now);
+  /// Adds an origin that a peer recorded, unless a newer one is known.
+  void learn(StreamOrigin origin, TimePoint now);
+  std::optional<Found> find(const std::string &id, TimePoint now) const;
+
+  /// Origins recorded since the last call, with the time that they have left.
+  std::vector<StreamOrigin> takePending(TimePoint now);
+
+  void dropExpired(TimePoint now);
+  std::size_t size() const { return entries_.size(); }
+
+private:
+  struct Entry {
+    StreamOrigin origin;
+    Source source = Source::Own;
+    TimePoint expiresAt;
+  };
+
+  void insert(StreamOrigin origin, Source source, TimePoint now);
+  void erase(const std::string &id);
+
+  std::unordered_map<std::string, Entry> entries_;
+  std::set<std::pair<TimePoint, std::string>> byExpiry_;
+  std::deque<std::string> pending_;
+};
+
+} // namespace auburnspring
+
+#endif
--- /dev/null
+++ b/src/auburnspring/decision/stream_origins_test.cpp
@@ -0,0 +1,124 @@
+#include "auburnspring/decision/stream_origins.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+using namespace auburnspring;
+
+namespace {
+
+TimePoint at(std::int64_t millis) {
+  return TimePoint(std::chrono::milliseconds(1000000 + millis));
+}
+
+StreamOrigin origin(const std::string &id, const std::string &version,
+                    std::uint64_t revision = 0,
+                    Duration expiresIn = std::chrono::seconds(20)) {
+  return {id, "models", version, revision, expiresIn};
+}
+
+std::string versionOf(const StreamOrigins &origins, const std::string &id,
+                      TimePoint now) {
+  const auto found = origins.find(id, now);
+  return found ? found->origin.softwareVersion : "";
+}
+
+} // namespace
+
+TEST_CASE("an origin is announced once, with the time that it has left") {
+  StreamOrigins origins;
+  CHECK_FALSE(origins.record(origin("r", "v1"), at(0)));
+  CHECK_FALSE(origins.record(origin("r", "v1"), at(10)));
+  const auto pending = origins.takePending(at(5000));
+  REQUIRE(pending.size() == 1);
+  CHECK(pending[0].softwareVersion == "v1");
+  CHECK(pending[0].expiresIn == std::chrono::seconds(15));
+  CHECK(origins.takePending(at(5000)).empty());
+  CHECK(origins.find("r", at(5000))->source == StreamOrigins::Source::Own);
+}
+
+TEST_CASE("a dispatch at another version before the first event replaces the "
+          "origin at this host and at its peers") {
+  StreamOrigins origins;
+  StreamOrigins peer;
+  origins.record(origin("r", "v1"), at(0));
+  const auto first = origins.takePending(at(1));
+  CHECK(origins.record(origin("r", "v2"), at(2)));
+  const auto second = origins.takePending(at(3));
+  REQUIRE(second.size() == 1);
+  CHECK(versionOf(origins, "r", at(3)) == "v2");
+  SECTION("in order") {
+    peer.learn(first[0], at(4));
+    CHECK(versionOf(peer, "r", at(4)) == "v1");
+    peer.learn(second[0], at(5));
+  }
+  SECTION("in the other order") {
+    peer.learn(second[0], at(4));
+    peer.learn(first[0], at(5));
+  }
+  CHECK(versionOf(peer, "r", at(5)) == "v2");
+  CHECK(peer.find("r", at(5))->source == StreamOrigins::Source::Peer);
+  CHECK(peer.takePending(at(5)).empty());
+}
+
+TEST_CASE("origins end with the time in which the stream may be resumed") {
+  StreamOrigins origins;
+  origins.record(origin("r", "v1"), at(0));
+  origins.learn(origin("s", "v1", 1, std::chrono::hours(5)), at(0));
+  CHECK(versionOf(origins, "r", at(19999)) == "v1");
+  CHECK(versionOf(origins, "r", at(20000)).empty());
+  origins.dropExpired(at(20000));
+  CHECK(origins.size() == 1);
+  const auto longest = std::chrono::duration_cast<std::chrono::milliseconds>(
+                           StreamOrigins::MaxRetention)
+                           .count();
+  CHECK(versionOf(origins, "s", at(longest - 1)) == "v1");
+  CHECK(versionOf(origins, "s", at(longest)).empty());
+  origins.dropExpired(at(longest));
+  CHECK(origins.size() == 0);
+}
+
+TEST_CASE("requests without an id, or with one that is too long, are not "
+          "recorded") {
+  StreamOrigins origins;
+  origins.record(origin("", "v1"), at(0));
+  const std::string tooLong(StreamOrigins::MaxIdBytes + 1, 'x');
+  origins.record(origin(tooLong, "v1"), at(0));
+  origins.learn(origin(tooLong, "v1", 1), at(0));
+  CHECK(origins.size() == 0);
+  CHECK(origins.takePending(at(0)).empty());
+}
+
+TEST_CASE("the number of origins is bounded and those that expire first go") {
+  StreamOrigins origins;
+  for (std::size_t i = 0; i < StreamOrigins::MaxOrigins + 10; ++i)
+    origins.record(origin(std::to_string(i), "v1"),
+                   at(static_cast<std::int64_t>(i)));
+  CHECK(origins.size() == StreamOrigins::MaxOrigins);
+  CHECK(versionOf(origins, "9", at(1)).empty());
+  CHECK(versionOf(origins, "10", at(1)) == "v1");
+  CHECK(origins.takePending(at(1)).size() == StreamOrigins::MaxPending);
+}
+
+TEST_CASE("hosts that learn the same origins in any order agree") {
+  rc::check([] {
+    const auto revisions = *rc::gen::container<std::vector<std::uint64_t>>(
+        rc::gen::inRange<std::uint64_t>(1, 9));
+    RC_PRE(!revisions.empty());
+    StreamOrigins forwards;
+    StreamOrigins backwards;
+    const auto learn = [](StreamOrigins *origins, std::uint64_t revision) {
+      origins->learn(origin("r", "v" + std::to_string(revision), revision),
+                     at(0));
+    };
+    for (const std::uint64_t revision : revisions)
+      learn(&forwards, revision);
+    for (auto it = revisions.rbegin(); it != revisions.rend(); ++it)
+      learn(&backwards, *it);
+    RC_ASSERT(versionOf(forwards, "r", at(1)) ==
+              versionOf(backwards, "r", at(1)));
+    RC_ASSERT(versionOf(forwards, "r", at(1)) ==
+              "v" + std::to_string(
+                        *std::max_element(revisions.begin(), revisions.end())));
+  });
+}
--- a/src/auburnspring/wire/peer_codec.cpp
+++ b/src/auburnspring/wire/peer_codec.cpp
@@ -1,5 +1,7 @@
 #include "auburnspring/wire/peer_codec.h"
 
+#include "stream_origin_codec.h"
+
 #include <absl/strings/str_cat.h>
 #include <nlohmann/json.hpp>
 #include <openssl/crypto.h>
@@ -180,7 +182,8 @@
                       {"leaving", heartbeat.isLeaving},
                       {"config", heartbeat.configurationVersion},
                       {"loads", std::move(loads)},
-                      {"notices", std::move(notices)}},
+                      {"notices", std::move(notices)},
+                      {"origins", toJson(heartbeat.origins)}},
                      heartbeat.storeVersion);
 }
 
@@ -206,6 +209,7 @@
         {notice.at(0).get<std::string>(), notice.at(1).get<std::int64_t>(),
          notice.at(2).get<bool>(), Duration(notice.at(3).get<std::int64_t>())});
   }
+  heartbeat.origins = readOrigins(json);
   return heartbeat;
 }
 
@@ -387,6 +391,12 @@
     return PeerMessage(OperatorConfigurationRequest{});
   case 16:
     return PeerMessage(readOperatorConfigurationReply(json));
+  case 17:
+    return PeerMessage(StreamOriginsUpdate{readOrigins(json)});
+  case 18:
+    return PeerMessage(readOriginQuery(json));
+  case 19:
+    return PeerMessage(readOriginReply(json));
   default:
     return absl::UnimplementedError(
         absl::StrCat("unknown peer message kind ", kind));
