A stream goes on only at the software version that began it

Cause: a choice for a stream that has begun did not know which software version had written its events: a second attempt after a break or a silence, stages run again for it, or the resumption of a caller at any host. Change: a stream is bound from its first forwarded event on, and a resumed one from the start. A host records the version when it dispatches a stream. In a fleet of up to 12 peers heartbeats carry the record to all, in a larger one three holders get it; what corrects an earlier record goes out at once, and so does all at a stop. A host that does not know a resumed stream asks its peers for at most 150 ms, up to three times those that do not reply, and then takes the version as known only if the pool has shown one alone for as long as a stream lasts. Else it refuses: 503 without Retry-After if the version is unknown or gone, with it if its upstreams only refuse. Without a candidate of the version a broken stream ends at once, before its stages run again or a retry is spent; an upstream that was tried is tried again as a last resort. Lines stream_origin_resolved and stream_origin_unknown, fields resumes and version of request_done, auburnspring_resumptions_total and the gauge stream_origins.

--- a/include/auburnspring/serving/active_request.h
+++ b/include/auburnspring/serving/active_request.h
@@ -42,6 +42,19 @@
   void onDeadline();
   void endRequest(int statusIfRun, std::string_view reason);
 
+  // Streams that go on.
+  /// True for a request that takes up a stream of which the caller has events.
+  bool isResumption() const;
+  /// Finds out which software version began the stream that is resumed, then
+  /// begins the stages or refuses the request.
+  void findOrigin();
+  void inferOrigin();
+  void resumeAt(const StreamOrigin &origin, std::string_view source);
+  /// Records that the stream begins at the upstream.
+  void recordOrigin(const UpstreamState &upstream);
+  std::string_view missingUpstreamReason() const;
+  void refuseWithoutUpstream();
+
   // Stages.
   void startStages();
   void submitReadyStages();
@@ -60,6 +73,8 @@
   // Attempts.
   void dispatch();
   EngineChoice selectUpstream(const std::vector<std::string> &inputs);
+  EngineChoice selectUpstream(const std::vector<std::string> &inputs,
+                              absl::Span<const std::string> avoid);
   void startAttempt(const EngineChoice &choice);
   EngineSpeedEstimator &engineSpeed() const {
     return context_->engineSpeeds[poolName_];
@@ -114,6 +129,8 @@
   /// its first event.
   std::int64_t pendingTokens_ = 0;
   std::vector<std::string> triedUpstreams_;
+  /// Software version at which the stream began; not set for other requests.
+  std::optional<std::string> softwareVersion_;
   /// Attempts that an upstream may have run.
   std::int64_t possibleRuns_ = 0;
   asio::steady_timer deadlineTimer_;
--- a/include/auburnspring/serving/peer_network.h
+++ b/include/auburnspring/serving/peer_network.h
@@ -1,6 +1,7 @@
 #ifndef AUBURNSPRING_SERVING_PEER_NETWORK_H
 #define AUBURNSPRING_SERVING_PEER_NETWORK_H
 
+#include "auburnspring/decision/batching_host.h"
 #include "auburnspring/peer/peer_mesh.h"
 
 #include <absl/status/status.h>
@@ -19,6 +20,9 @@
 /// its entry in the store and from the messages received from it.
 class PeerNetwork {
 public:
+  /// Peers that receive each heartbeat.
+  static constexpr std::size_t HeartbeatFanout = 12;
+
   struct Options {
     std::string host;
     Endpoint listen;
@@ -58,6 +62,9 @@
   bool isAvailable(const std::string &host, TimePoint now) const;
   /// The host is considered running, whether or not it takes new work.
   bool isReachable(const std::string &host, TimePoint now) const;
+  std::vector<std::string> reachablePeers(TimePoint now) const;
+  /// The available hosts with their processors, valid until the next change.
+  std::vector<BatchingCandidate> candidates(TimePoint now) const;
   std::optional<TimePoint> lastMessageAt(const std::string &host) const;
 
   /// Available host that forms the batches of a pool; this host if there is no
--- a/include/auburnspring/serving/serving_context.h
+++ b/include/auburnspring/serving/serving_context.h
@@ -3,12 +3,14 @@
 
 #include "auburnspring/decision/duration_estimator.h"
 #include "auburnspring/decision/engine_speed.h"
+#include "auburnspring/decision/pool_version_history.h"
 #include "auburnspring/decision/retry_quota.h"
 #include "auburnspring/decision/routing_table.h"
 #include "auburnspring/decision/upstream_registry.h"
 #include "auburnspring/serving/dialect.h"
 #include "auburnspring/serving/piece_dispatcher.h"
 #include "auburnspring/serving/serving_metrics.h"
+#include "auburnspring/serving/stream_origin_exchange.h"
 
 #include <asio/io_context.hpp>
 
@@ -29,6 +31,8 @@
   UpstreamRegistry registry;
   RetryQuota retryQuota;
   PieceDispatcher *pieceDispatcher = nullptr;
+  StreamOriginExchange *streamOrigins = nullptr;
+  PoolVersionHistory versionHistory;
   ServingMetrics metrics;
   /// Recent time from the submission of a stage to its results, by pool.
   DurationEstimator stageDurations;
--- a/include/auburnspring/serving/serving_host.h
+++ b/include/auburnspring/serving/serving_host.h
@@ -8,6 +8,7 @@
 #include "auburnspring/serving/serving_context.h"
 #include "auburnspring/serving/settings.h"
 #include "auburnspring/serving/store_follower.h"
+#include "auburnspring/serving/stream_origin_exchange.h"
 
 #include <absl/status/status.h>
 #include <asio/signal_set.hpp>
@@ -65,7 +66,10 @@
   void requestNewerConfiguration(const std::string &from,
                                  const HostHeartbeat &heartbeat);
   void sendVersionUpdates();
-  HostHeartbeat heartbeat() const;
+  /// The next heartbeat, with what has not been announced yet.
+  HostHeartbeat takeHeartbeat();
+  /// Notes which software versions the pools show.
+  void noteVersions(TimePoint now);
 
   // Callers, readiness probes and metrics.
   void onCaller(std::shared_ptr<http::Exchange> exchange);
@@ -83,6 +87,7 @@
   ServingContext context_;
   PeerNetwork peers_;
   PieceDispatcher pieceDispatcher_;
+  StreamOriginExchange streamOrigins_;
   StoreFollower follower_;
   http::Server callerServer_;
   http::Server readinessServer_;
--- a/include/auburnspring/serving/serving_metrics.h
+++ b/include/auburnspring/serving/serving_metrics.h
@@ -29,6 +29,8 @@
   void countRefusal(const std::string &reason);
   /// Counts a stream whose caller's connection was closed before its end.
   void countAbortedStream(const std::string &reason);
+  /// Counts a request that resumes a stream: went on, or why it did not.
+  void countResumption(const std::string &outcome);
   /// Sets a gauge that is updated on each scrape.
   void set(const std::string &name, double value);
 
@@ -44,6 +46,7 @@
   prometheus::Family<prometheus::Histogram> *stages_;
   prometheus::Family<prometheus::Counter> *refusals_;
   prometheus::Family<prometheus::Counter> *abortedStreams_;
+  prometheus::Family<prometheus::Counter> *resumptions_;
   prometheus::Family<prometheus::Gauge> *state_;
 };
 
--- a/src/auburnspring/serving/active_request.cpp
+++ b/src/auburnspring/serving/active_request.cpp
@@ -40,7 +40,7 @@
       self->onDeadline();
   });
   lastEventId_ = request_.lastEventId;
-  startStages();
+  isResumption() ? findOrigin() : startStages();
 }
 
 bool ActiveRequest::admit() {
@@ -170,6 +170,10 @@
   const Duration elapsed = now - exchange_->receivedAt;
   const std::string route = route_ == nullptr ? "" : route_->name;
   context_->metrics.countRequest(route, outcome, elapsed);
+  if (isResumption())
+    context_->metrics.countResumption(streamStarted_   ? "went_on"
+                                      : reason.empty() ? outcome
+                                                       : std::string(reason));
   logEvent(
       outcome == "complete" ? LogLevel::Info : LogLevel::Warning,
       "request_done",
@@ -183,6 +187,8 @@
         triedUpstreams_.empty() ? std::string() : triedUpstreams_.back()},
        {"attempts", static_cast<unsigned long>(triedUpstreams_.size())},
        {"ms", toMillis(elapsed)},
+       {"resumes", request_.resumedId},
+       {"version", softwareVersion_.value_or("")},
        {"stages_ms", stagesDoneAt_ == TimePoint()
                          ? 0.0
                          : toMillis(stagesDoneAt_ - exchange_->receivedAt)},
--- a/src/auburnspring/serving/active_request_attempts.cpp
+++ b/src/auburnspring/serving/active_request_attempts.cpp
@@ -28,12 +28,14 @@
 } // namespace
 
 EngineChoice
-ActiveRequest::selectUpstream(const std::vector<std::string> &inputs) {
+ActiveRequest::selectUpstream(const std::vector<std::string> &inputs,
+                              absl::Span<const std::string> avoid) {
   PlacementRequest placement;
   placement.prompt = request_.prompt;
   placement.promptTokens = request_.promptTokens;
   placement.outputTokens = request_.outputTokens;
-  placement.avoid = triedUpstreams_;
+  placement.avoid = avoid;
+  placement.softwareVersion = softwareVersion_;
   std::vector<std::string> inputDataCentres;
   for (const std::string &input : inputs)
     if (const auto endpoint = context_->dialect->resultEndpoint(input))
@@ -61,14 +63,10 @@
     if (hasLiveAttempt())
       return;
     if (streamStarted_)
-      return abortStream("no_upstream");
+      return abortStream(missingUpstreamReason());
     if (possibleRuns_ > 0)
-      return refuse(502, "no_upstream");
-    const TimePoint now = steadyNow();
-    const Duration refusal = context_->registry.refusalTime(poolName_, now);
-    return refusal > Duration(0)
-               ? refuse(503, "upstreams_refuse", jittered(refusal))
-               : refuse(503, "no_upstream", DefaultRetryAfter);
+      return refuse(502, missingUpstreamReason());
+    return refuseWithoutUpstream();
   }
   startAttempt(choice);
 }
@@ -90,6 +88,9 @@
   const TimePoint now = steadyNow();
   if (triedUpstreams_.empty())
     context_->retryQuota.recordFirstAttempts(poolName_, 1, now);
+  // Of several attempts the one that brings the first event decides.
+  if (!streamStarted_ && !hasLiveAttempt())
+    recordOrigin(*upstream);
   triedUpstreams_.push_back(upstream->entry.id);
   ++possibleRuns_;
   std::int64_t sharedTokens = 0;
@@ -174,6 +175,8 @@
 
 void ActiveRequest::startStream(Attempt *attempt) {
   streamStarted_ = true;
+  softwareVersion_ = attempt->upstream().entry.softwareVersion;
+  recordOrigin(attempt->upstream());
   attempt->notePrefillDone();
   const TimePoint now = steadyNow();
   const Duration elapsed = now - attempt->startedAt();
@@ -278,6 +281,10 @@
   RetryDecision step = decideRetry(*route_, report, limits);
   if (step == RetryDecision::RetryElsewhere && hasLiveAttempt())
     return;
+  // Before the stages run again, and before a retry is spent.
+  if (step == RetryDecision::RetryElsewhere && streamStarted_ &&
+      selectUpstream({}).engine == nullptr)
+    return abortStream(missingUpstreamReason());
   if (step == RetryDecision::RetryElsewhere && !takeRetry())
     step = decideWithoutRetry(report, possibleRuns_);
   if (step != RetryDecision::RelayResponse && hasLiveAttempt())
--- /dev/null
+++ b/src/auburnspring/serving/active_request_resume.cpp
@@ -0,0 +1,135 @@
+#include "auburnspring/serving/active_request.h"
+
+#include "auburnspring/base/clock.h"
+#include "auburnspring/base/log.h"
+
+#include <algorithm>
+#include <string>
+
+namespace auburnspring {
+
+namespace {
+
+/// How far the replica of the store may lag behind when a version is inferred
+/// from it.
+constexpr Duration ReplicaLag = std::chrono::seconds(3);
+
+const char *sourceName(StreamOrigins::Source source) {
+  return source == StreamOrigins::Source::Own ? "own" : "peer";
+}
+
+} // namespace
+
+bool ActiveRequest::isResumption() const {
+  return route_ != nullptr && route_->isStream && request_.isResumption();
+}
+
+void ActiveRequest::findOrigin() {
+  const std::string &id = request_.resumedId;
+  if (id.empty())
+    return inferOrigin();
+  if (const auto found = context_->streamOrigins->find(id))
+    return resumeAt(found->origin, sourceName(found->source));
+  context_->streamOrigins->query(
+      id, [weak = weak_from_this()](const std::optional<StreamOrigin> &origin) {
+        const auto self = weak.lock();
+        if (!self || self->done_)
+          return;
+        origin ? self->resumeAt(*origin, "query") : self->inferOrigin();
+      });
+}
+
+void ActiveRequest::inferOrigin() {
+  const TimePoint now = steadyNow();
+  const Duration longestStream =
+      std::max(route_->timeout, context_->longestTimeout[route_->name]);
+  // Of several pools it is not known which one the stream began in.
+  const std::optional<std::string> version =
+      route_->pools.size() == 1
+          ? context_->versionHistory.onlyVersion(
+                poolName_, longestStream + ReplicaLag, now)
+          : std::nullopt;
+  if (version)
+    return resumeAt({request_.resumedId, poolName_, *version, 0, Duration(0)},
+                    "inferred");
+  logEvent(LogLevel::Warning, "stream_origin_unknown",
+           {{"id", request_.id},
+            {"resumes", request_.resumedId},
+            {"route", route_->name},
+            {"pool", poolName_},
+            {"waited_ms", toMillis(now - exchange_->receivedAt)}});
+  // The version can't become known, and any other may be the wrong one.
+  refuse(503, "origin_unknown");
+}
+
+void ActiveRequest::resumeAt(const StreamOrigin &origin,
+                             std::string_view source) {
+  const bool isPoolOfRoute = std::any_of(
+      route_->pools.begin(), route_->pools.end(),
+      [&](const PoolShare &share) { return share.pool == origin.pool; });
+  if (isPoolOfRoute) {
+    poolName_ = origin.pool;
+    pool_ = table_->pool(poolName_);
+  }
+  softwareVersion_ = origin.softwareVersion;
+  logEvent(LogLevel::Info, "stream_origin_resolved",
+           {{"id", request_.id},
+            {"resumes", request_.resumedId},
+            {"route", route_->name},
+            {"pool", poolName_},
+            {"version", origin.softwareVersion},
+            {"source", std::string(source)},
+            {"waited_ms", toMillis(steadyNow() - exchange_->receivedAt)}});
+  if (selectUpstream({}).engine == nullptr)
+    return refuseWithoutUpstream();
+  startStages();
+}
+
+void ActiveRequest::recordOrigin(const UpstreamState &upstream) {
+  if (!route_->isStream)
+    return;
+  const std::string &id =
+      request_.resumedId.empty() ? request_.id : request_.resumedId;
+  const Duration patience =
+      std::max(route_->timeout, request_.timeLeft.value_or(Duration(0)));
+  context_->streamOrigins->record(
+      {id, poolName_, upstream.entry.softwareVersion, 0, patience});
+}
+
+EngineChoice
+ActiveRequest::selectUpstream(const std::vector<std::string> &inputs) {
+  const EngineChoice choice = selectUpstream(inputs, triedUpstreams_);
+  // Few upstreams may run the version of a stream that has begun: one that was
+  // tried is better than none, the latest only unless it is known to be down.
+  if (choice.engine != nullptr || !streamStarted_ || hasLiveAttempt())
+    return choice;
+  const std::string &latest = triedUpstreams_.back();
+  const EngineChoice tried = selectUpstream(inputs, {latest});
+  if (tried.engine != nullptr)
+    return tried;
+  const UpstreamStatePtr upstream = context_->registry.byId(latest);
+  if (upstream == nullptr || !upstream->acceptsWork(steadyNow()))
+    return {};
+  return selectUpstream(inputs, {});
+}
+
+std::string_view ActiveRequest::missingUpstreamReason() const {
+  return softwareVersion_ &&
+                 !context_->registry.lists(poolName_, *softwareVersion_)
+             ? "no_upstream_of_version"
+             : "no_upstream";
+}
+
+void ActiveRequest::refuseWithoutUpstream() {
+  // Coming back helps only if there is an upstream to come back to.
+  const std::string_view reason = missingUpstreamReason();
+  if (reason != "no_upstream")
+    return refuse(503, reason);
+  const Duration refusal =
+      context_->registry.refusalTime(poolName_, steadyNow(), softwareVersion_);
+  return refusal > Duration(0)
+             ? refuse(503, "upstreams_refuse", jittered(refusal))
+             : refuse(503, reason, DefaultRetryAfter);
+}
+
+} // namespace auburnspring
--- a/src/auburnspring/serving/peer_network.cpp
+++ b/src/auburnspring/serving/peer_network.cpp
@@ -2,7 +2,6 @@
 
 #include "auburnspring/base/clock.h"
 #include "auburnspring/base/log.h"
-#include "auburnspring/decision/batching_host.h"
 
 #include <asio/post.hpp>
 
@@ -190,8 +189,15 @@
   return found->second.lastMessageAt;
 }
 
-std::string PeerNetwork::batchingHost(const std::string &pool,
-                                      TimePoint now) const {
+std::vector<std::string> PeerNetwork::reachablePeers(TimePoint now) const {
+  std::vector<std::string> hosts;
+  for (const auto &entry : peers_)
+    if (isReachable(entry.first, now))
+      hosts.push_back(entry.first);
+  return hosts;
+}
+
+std::vector<BatchingCandidate> PeerNetwork::candidates(TimePoint now) const {
   std::vector<BatchingCandidate> candidates;
   candidates.reserve(peers_.size() + 1);
   if (!selfLeaving_)
@@ -199,7 +205,12 @@
   for (const auto &entry : peers_)
     if (isAvailable(entry.second, now))
       candidates.push_back({entry.first, entry.second.processorShare});
-  const std::string_view chosen = chooseBatchingHost(pool, candidates);
+  return candidates;
+}
+
+std::string PeerNetwork::batchingHost(const std::string &pool,
+                                      TimePoint now) const {
+  const std::string_view chosen = chooseBatchingHost(pool, candidates(now));
   return chosen.empty() ? options_.host : std::string(chosen);
 }
 
--- a/src/auburnspring/serving/serving_host.cpp
+++ b/src/auburnspring/serving/serving_host.cpp
@@ -21,8 +21,6 @@
 constexpr std::uint64_t TicksPerHeartbeat = 2;
 /// Ticks between two version updates of a host that watches the store.
 constexpr std::uint64_t TicksPerVersionUpdate = 2;
-/// Peers that receive each heartbeat.
-constexpr std::size_t HeartbeatFanout = 12;
 /// Idle connections stay open this long after SIGTERM, for callers that do not
 /// yet know that the host is stopping.
 constexpr Duration IdleCloseDelay = std::chrono::milliseconds(3500);
@@ -36,6 +34,8 @@
 /// Least time between two requests for a peer's configuration.
 constexpr Duration ConfigurationRequestInterval =
     std::chrono::milliseconds(500);
+/// Age of the last confirmation up to which the replica counts as current.
+constexpr Duration MaxConfirmedAge = std::chrono::seconds(3);
 /// Retry-After of a request that a stopping host refuses.
 constexpr Duration StoppingRetryAfter = std::chrono::milliseconds(50);
 
@@ -77,6 +77,7 @@
                                     ? &*found->batches
                                     : nullptr;
                        }),
+      streamOrigins_(io, &peers_),
       follower_(io, store,
                 {dialect->hostPrefix() + settings_.host,
                  hostEntry(settings_, false), hostEntry(settings_, true),
@@ -104,6 +105,7 @@
   context_.io = &io;
   context_.dialect = dialect;
   context_.pieceDispatcher = &pieceDispatcher_;
+  context_.streamOrigins = &streamOrigins_;
   context_.random.seed(randomSeed());
   context_.retryQuota.setLimits(
       {settings_.retryRatio, settings_.retrySlack, settings_.retryWindow});
@@ -209,6 +211,8 @@
              {{"key", change.key},
               {"revision", static_cast<long>(change.revision)},
               {"error", std::string(entry.status().message())}});
+  if (entry.ok())
+    context_.versionHistory.onSeen(entry->pool, entry->softwareVersion, now);
   const Change outcome =
       entry.ok()
           ? context_.registry.put(change.key, *std::move(entry), now,
@@ -281,6 +285,12 @@
     return onReplicaReply(*reply);
   if (const auto *update = std::get_if<StoreVersionUpdate>(&message))
     return onVersionUpdate(from, *update);
+  if (const auto *update = std::get_if<StreamOriginsUpdate>(&message))
+    return streamOrigins_.onOrigins(update->origins);
+  if (const auto *query = std::get_if<StreamOriginQuery>(&message))
+    return streamOrigins_.onQuery(from, *query);
+  if (const auto *reply = std::get_if<StreamOriginReply>(&message))
+    return streamOrigins_.onReply(from, *reply);
   if (std::holds_alternative<OperatorConfigurationRequest>(message))
     return peers_.send(from, OperatorConfigurationReply{configurationText_});
   if (const auto *reply = std::get_if<OperatorConfigurationReply>(&message))
@@ -302,6 +312,7 @@
                                load.reservedTokens, now};
   for (const UpstreamNotice &notice : heartbeat.notices)
     applyUpstreamNotice(notice, from, &context_.registry, now);
+  streamOrigins_.onOrigins(heartbeat.origins);
   onPeerStoreVersion(from, heartbeat.storeVersion, heartbeat.storeVersionAge);
   requestNewerConfiguration(from, heartbeat);
 }
@@ -366,8 +377,9 @@
   peers_.send(from, std::move(reply));
 }
 
-HostHeartbeat ServingHost::heartbeat() const {
+HostHeartbeat ServingHost::takeHeartbeat() {
   HostHeartbeat heartbeat;
+  heartbeat.origins = streamOrigins_.takeForHeartbeat();
   heartbeat.storeVersion = follower_.replica().version();
   heartbeat.storeVersionAge = follower_.versionAge();
   heartbeat.storeReachable = follower_.isReachable();
@@ -437,6 +449,7 @@
               static_cast<double>(peers_.availableHosts(steadyNow()).size()));
   metrics.set("stage_jobs_outstanding",
               static_cast<double>(pieceDispatcher_.outstandingCount()));
+  metrics.set("stream_origins", static_cast<double>(streamOrigins_.size()));
   const PieceDispatcher::Counters pieces = pieceDispatcher_.counters();
   metrics.set("batches_sent", static_cast<double>(pieces.batches));
   metrics.set("pieces_sent", static_cast<double>(pieces.pieces));
@@ -463,7 +476,9 @@
 void ServingHost::tick() {
   const TimePoint now = steadyNow();
   if (++ticks_ % TicksPerHeartbeat == 0)
-    peers_.broadcast(heartbeat(), HeartbeatFanout);
+    peers_.broadcast(takeHeartbeat(), PeerNetwork::HeartbeatFanout);
+  streamOrigins_.tick();
+  noteVersions(now);
   if (ticks_ % TicksPerVersionUpdate == 0)
     sendVersionUpdates();
   follower_.setWatching(watcherSelector_.mustWatch(now));
@@ -486,6 +501,17 @@
     checkStopped();
 }
 
+void ServingHost::noteVersions(TimePoint now) {
+  PoolVersionHistory &history = context_.versionHistory;
+  history.onConfirmed(follower_.versionAge() < MaxConfirmedAge &&
+                          context_.registry.isStoreStable(now),
+                      now);
+  for (const auto &entry : context_.registry.all())
+    history.onSeen(entry.second->entry.pool,
+                   entry.second->entry.softwareVersion, now);
+  history.dropOld(now);
+}
+
 void ServingHost::stop() {
   if (stopping_)
     return;
@@ -496,7 +522,8 @@
             {"connections",
              static_cast<unsigned long>(callerServer_.connectionCount())}});
   peers_.setLeaving(peers_.self(), true);
-  peers_.broadcast(heartbeat(), HeartbeatFanout);
+  peers_.broadcast(takeHeartbeat(), PeerNetwork::HeartbeatFanout);
+  streamOrigins_.announce();
   pieceDispatcher_.transferJobs();
   follower_.announceLeaving();
   callerServer_.drain(IdleCloseDelay);
--- a/src/auburnspring/serving/serving_metrics.cpp
+++ b/src/auburnspring/serving/serving_metrics.cpp
@@ -45,6 +45,10 @@
                            .Name("auburnspring_aborted_streams_total")
                            .Help("Streams closed before their end, by reason")
                            .Register(registry_)),
+      resumptions_(&prometheus::BuildCounter()
+                        .Name("auburnspring_resumptions_total")
+                        .Help("Requests that resume a stream, by outcome")
+                        .Register(registry_)),
       state_(&prometheus::BuildGauge()
                   .Name("auburnspring_state")
                   .Help("Current state of the host")
@@ -80,6 +84,10 @@
   abortedStreams_->Add({{"reason", reason}}).Increment();
 }
 
+void ServingMetrics::countResumption(const std::string &outcome) {
+  resumptions_->Add({{"outcome", outcome}}).Increment();
+}
+
 void ServingMetrics::set(const std::string &name, double value) {
   state_->Add({{"of", name}}).Set(value);
 }
--- /dev/null
+++ b/src/auburnspring/serving/stream_origin_exchange.cpp
@@ -0,0 +1,137 @@
+#include "auburnspring/serving/stream_origin_exchange.h"
+
+#include "auburnspring/base/clock.h"
+#include "auburnspring/decision/stream_origin_holders.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace auburnspring {
+
+bool StreamOriginExchange::heartbeatsReachAll() const {
+  return peers_->peerCount() <= PeerNetwork::HeartbeatFanout;
+}
+
+void StreamOriginExchange::record(StreamOrigin origin) {
+  if (origins_.record(std::move(origin), steadyNow()))
+    announce();
+}
+
+std::optional<StreamOrigins::Found>
+StreamOriginExchange::find(const std::string &id) const {
+  return origins_.find(id, steadyNow());
+}
+
+std::vector<std::string>
+StreamOriginExchange::peersToAsk(const std::string &id) const {
+  const TimePoint now = steadyNow();
+  if (heartbeatsReachAll())
+    return peers_->reachablePeers(now);
+  const std::vector<BatchingCandidate> hosts = peers_->candidates(now);
+  std::vector<std::string> asked =
+      StreamOriginHolders(hosts).holders(id, StreamOriginHolders::AskedCount);
+  asked.erase(std::remove(asked.begin(), asked.end(), peers_->self()),
+              asked.end());
+  return asked;
+}
+
+void StreamOriginExchange::query(const std::string &id, Handler handler) {
+  const std::vector<std::string> asked = peersToAsk(id);
+  if (asked.empty())
+    return handler(std::nullopt);
+  const std::uint64_t number = nextQuery_++;
+  Query &query = queries_[number];
+  query.id = id;
+  query.handler = std::move(handler);
+  query.missing.insert(asked.begin(), asked.end());
+  query.timer = std::make_unique<asio::steady_timer>(io_);
+  startRound(number);
+}
+
+void StreamOriginExchange::startRound(std::uint64_t number) {
+  const auto found = queries_.find(number);
+  if (found == queries_.end())
+    return;
+  Query &query = found->second;
+  if (query.rounds++ == MaxRounds)
+    return finishQuery(number, std::nullopt);
+  query.timer->expires_after(ReplyTimeout / MaxRounds);
+  query.timer->async_wait([this, number](asio::error_code error) {
+    if (!error)
+      startRound(number);
+  });
+  for (const std::string &host : query.missing)
+    peers_->send(host, StreamOriginQuery{number, query.id});
+}
+
+void StreamOriginExchange::finishQuery(std::uint64_t number,
+                                       std::optional<StreamOrigin> origin) {
+  const auto found = queries_.find(number);
+  if (found == queries_.end())
+    return;
+  const Handler handler = std::move(found->second.handler);
+  queries_.erase(found);
+  handler(std::move(origin));
+}
+
+void StreamOriginExchange::onOrigins(const std::vector<StreamOrigin> &origins) {
+  const TimePoint now = steadyNow();
+  for (const StreamOrigin &origin : origins)
+    origins_.learn(origin, now);
+}
+
+void StreamOriginExchange::onQuery(const std::string &from,
+                                   const StreamOriginQuery &query) {
+  StreamOriginReply reply;
+  reply.number = query.number;
+  if (const auto found = find(query.id))
+    reply.origin = found->origin;
+  peers_->send(from, std::move(reply));
+}
+
+void StreamOriginExchange::onReply(const std::string &from,
+                                   const StreamOriginReply &reply) {
+  if (reply.origin)
+    origins_.learn(*reply.origin, steadyNow());
+  const auto found = queries_.find(reply.number);
+  if (found == queries_.end())
+    return;
+  if (reply.origin && reply.origin->id == found->second.id)
+    return finishQuery(reply.number, reply.origin);
+  found->second.missing.erase(from);
+  if (found->second.missing.empty())
+    finishQuery(reply.number, std::nullopt);
+}
+
+std::vector<StreamOrigin> StreamOriginExchange::takeForHeartbeat() {
+  return heartbeatsReachAll() ? origins_.takePending(steadyNow())
+                              : std::vector<StreamOrigin>();
+}
+
+void StreamOriginExchange::tick() {
+  origins_.dropExpired(steadyNow());
+  if (!heartbeatsReachAll())
+    announce();
+}
+
+void StreamOriginExchange::announce() {
+  const TimePoint now = steadyNow();
+  std::vector<StreamOrigin> pending = origins_.takePending(now);
+  if (pending.empty())
+    return;
+  if (heartbeatsReachAll())
+    return peers_->broadcast(StreamOriginsUpdate{std::move(pending)},
+                             PeerNetwork::HeartbeatFanout);
+  const std::vector<BatchingCandidate> hosts = peers_->candidates(now);
+  const StreamOriginHolders holders(hosts);
+  std::map<std::string, StreamOriginsUpdate> updates;
+  for (const StreamOrigin &origin : pending)
+    for (const std::string &host :
+         holders.holders(origin.id, StreamOriginHolders::HolderCount))
+      if (host != peers_->self())
+        updates[host].origins.push_back(origin);
+  for (auto &update : updates)
+    peers_->send(update.first, std::move(update.second));
+}
+
+} // namespace auburnspring
