--- a/src/auburnspring/wire/peer_codec.cpp
+++ b/src/auburnspring/wire/peer_codec.cpp
@@ -1,35 +1,21 @@
 #include "auburnspring/wire/peer_codec.h"
 
+#include "peer_mac.h"
 #include "stream_origin_codec.h"
 
 #include <absl/strings/str_cat.h>
 #include <nlohmann/json.hpp>
 #include <openssl/crypto.h>
-#include <openssl/hmac.h>
-
-#include <array>
 
 namespace auburnspring {
 
 namespace {
 
 constexpr int ProtocolVersion = 1;
-constexpr std::size_t MacBytes = 32;
 constexpr std::size_t MaxGossipEntries = 5000;
 /// Limit on pieces of one job, far above what a stage has.
 constexpr std::uint32_t MaxJobPieces = 4096;
 
-using Mac = std::array<unsigned char, MacBytes>;
-
-Mac computeMac(absl::string_view bytes, absl::string_view key) {
-  Mac mac{};
-  unsigned int length = 0;
-  HMAC(EVP_sha256(), key.data(), static_cast<int>(key.size()),
-       reinterpret_cast<const unsigned char *>(bytes.data()), bytes.size(),
-       mac.data(), &length);
-  return mac;
-}
-
 nlohmann::json toJson(const Endpoint &endpoint) { return toString(endpoint); }
 
 Endpoint readEndpoint(const nlohmann::json &json) {
