--- a/src/auburnspring/serving/active_request_attempts.cpp
+++ b/src/auburnspring/serving/active_request_attempts.cpp
@@ -369,7 +369,7 @@
 void ActiveRequest::rerunStages(Attempt *attempt) {
   if (attempt->responseInfo().areInputsGone)
     triedUpstreams_.pop_back();
-  if (plan_.restartFinalStages())
+  if (restartStages())
     return submitReadyStages();
   streamStarted_
       ? abortStream("inputs_gone")
@@ -446,7 +446,8 @@
 void ActiveRequest::hedgeStream() {
   if (!needsStagesAgain())
     return dispatch();
-  plan_.restartFinalStages();
+  if (!restartStages())
+    return;
   hedgeAwaitsStages_ = true;
   submitReadyStages();
 }
