A timer that was armed before has no effect on a connection

Cause: the handler of a timer that has expired can't be cancelled. If a request was read in the same poll in which the idle timer expired, and answered at once, that handler then took the connection for idle and closed it. What callers saw: a response cut off, or a connection closed right after a response that announced no close. Change: each timer of a connection has a number, and only the one armed last acts.

--- a/src/auburnspring/http/http_test.cpp
+++ b/src/auburnspring/http/http_test.cpp
@@ -1,7 +1,7 @@
 #include "auburnspring/base/log.h"
 #include "auburnspring/http/client_call.h"
 #include "auburnspring/http/message_reader.h"
-#include "auburnspring/http/server.h"
+#include "server_fixture.h"
 
 #include <asio/connect.hpp>
 #include <asio/read.hpp>
@@ -17,49 +17,6 @@
 
 namespace {
 
-using Tcp = asio::ip::tcp;
-
-/// A server with a replaceable handler, run by the test's event loop.
-struct ServerFixture {
-  asio::io_context io;
-  Server::Handler handler;
-  Server server{io, [this](std::shared_ptr<Exchange> exchange) {
-                  handler(std::move(exchange));
-                }};
-  ServerFixture() { REQUIRE(server.listen({"127.0.0.1", 0}).ok()); }
-
-  Tcp::socket connect() {
-    Tcp::socket socket(io);
-    const Endpoint endpoint = server.endpoint();
-    socket.connect({asio::ip::make_address(endpoint.ip), endpoint.port});
-    return socket;
-  }
-
-  /// Runs the event loop until the condition holds.
-  template <typename Condition> void runUntil(Condition condition) {
-    while (!condition())
-      io.run_one();
-  }
-
-  /// Runs the event loop for a fixed time.
-  void runFor(std::chrono::milliseconds span) {
-    asio::steady_timer timer(io, span);
-    bool expired = false;
-    timer.async_wait([&](asio::error_code) { expired = true; });
-    runUntil([&] { return expired; });
-  }
-
-  /// Returns everything the server sends until it closes the connection.
-  std::string readAll(Tcp::socket *socket) {
-    std::string received;
-    bool closed = false;
-    asio::async_read(*socket, asio::dynamic_buffer(received),
-                     [&](asio::error_code, std::size_t) { closed = true; });
-    runUntil([&] { return closed; });
-    return received;
-  }
-};
-
 /// An upstream that responds with raw bytes.
 struct RawUpstream {
   explicit RawUpstream(asio::io_context &io)
--- a/src/auburnspring/http/server_connection.h
+++ b/src/auburnspring/http/server_connection.h
@@ -7,6 +7,7 @@
 #include <asio/steady_timer.hpp>
 
 #include <array>
+#include <cstdint>
 #include <memory>
 #include <string>
 
@@ -44,6 +45,7 @@
   void write();
   void onWritten();
   void armTimer(Duration span);
+  void disarmTimer();
   void onTimer();
   /// Starts to wait for the next request.
   void beginIdle();
@@ -54,6 +56,8 @@
   Server *server_;
   asio::ip::tcp::socket socket_;
   asio::steady_timer timer_;
+  /// Number of the timer that is armed; handlers of others have no effect.
+  std::uint64_t timerNumber_ = 0;
   MessageReader reader_;
   std::array<char, 16 << 10> buffer_{};
   /// Bytes received but not parsed yet: pipelined requests.
--- /dev/null
+++ b/src/auburnspring/http/server_connection_test.cpp
@@ -0,0 +1,47 @@
+#include "server_fixture.h"
+
+#include <asio/write.hpp>
+
+#include <thread>
+
+using namespace auburnspring;
+using namespace auburnspring::http;
+
+namespace {
+
+/// More than the sockets hold, in bytes.
+constexpr std::size_t LargeBodyBytes = 24 << 20;
+const std::string Request = "GET / HTTP/1.1\r\n\r\n";
+
+} // namespace
+
+// Each guards against requests that are read and get no complete response.
+
+TEST_CASE("an idle timer that expires as a request is read closes nothing") {
+  ServerFixture fixture;
+  ServerLimits limits;
+  limits.idleTimeout = std::chrono::milliseconds(30);
+  fixture.server.setLimits(limits);
+  fixture.handler = [](const std::shared_ptr<Exchange> &exchange) {
+    exchange->respond({200, {}}, std::string(LargeBodyBytes, 'x'));
+  };
+  Tcp::socket caller = fixture.connect();
+  fixture.runUntil([&] { return fixture.server.connectionCount() == 1; });
+  asio::write(caller, asio::buffer(Request));
+  // Now both the request and the timer are due.
+  std::this_thread::sleep_for(std::chrono::milliseconds(60));
+  CHECK(fixture.readAll(&caller).size() > LargeBodyBytes);
+}
+
+TEST_CASE("a response that is being written survives the server's close") {
+  ServerFixture fixture;
+  fixture.handler = [](const std::shared_ptr<Exchange> &exchange) {
+    exchange->respond({200, {}}, std::string(LargeBodyBytes, 'x'));
+  };
+  Tcp::socket caller = fixture.connect();
+  asio::write(caller, asio::buffer(Request));
+  fixture.runFor(std::chrono::milliseconds(50));
+  fixture.server.close();
+  fixture.runFor(std::chrono::milliseconds(50));
+  CHECK(fixture.readAll(&caller).size() > LargeBodyBytes);
+}
