A request after a HEAD request on a stream is answered

Cause: a response ends when its last bytes are written. One that ends with nothing left to write, as a HEAD request's on a stream, never ended: the connection parsed no further request and armed no timer. What callers saw: no answer to the next request on the connection. Change: such a response ends in the event loop's next turn. Evidence: the new test failed before (the second request was not passed on) and passes; http_test passes (33 cases). Result: found by reading; no report of callers names it.

--- a/src/auburnspring/http/server_connection.cpp
+++ b/src/auburnspring/http/server_connection.cpp
@@ -2,6 +2,7 @@
 
 #include "auburnspring/base/clock.h"
 
+#include <asio/post.hpp>
 #include <asio/write.hpp>
 
 #include <algorithm>
@@ -203,6 +204,13 @@
   responseEnded_ = true;
   exchange_.reset();
   write();
+  if (inFlightBytes_ > 0 || closed_)
+    return;
+  // All is written already: the response to a HEAD request on a stream.
+  asio::post(socket_.get_executor(), [self = shared_from_this()] {
+    if (!self->closed_)
+      self->onWritten();
+  });
 }
 
 void ServerConnection::write() {
--- a/src/auburnspring/http/server_connection_test.cpp
+++ b/src/auburnspring/http/server_connection_test.cpp
@@ -3,6 +3,7 @@
 #include <asio/write.hpp>
 
 #include <thread>
+#include <vector>
 
 using namespace auburnspring;
 using namespace auburnspring::http;
@@ -45,3 +46,19 @@
   fixture.runFor(std::chrono::milliseconds(50));
   CHECK(fixture.readAll(&caller).size() > LargeBodyBytes);
 }
+
+TEST_CASE("a request after a HEAD request on a stream is answered") {
+  ServerFixture fixture;
+  std::vector<std::shared_ptr<Exchange>> pending;
+  fixture.handler = [&](std::shared_ptr<Exchange> exchange) {
+    pending.push_back(std::move(exchange));
+  };
+  Tcp::socket caller = fixture.connect();
+  asio::write(caller, asio::buffer("HEAD / HTTP/1.1\r\n\r\n" + Request));
+  fixture.runUntil([&] { return pending.size() == 1; });
+  pending[0]->begin({200, {}});
+  fixture.runFor(std::chrono::milliseconds(20));
+  pending[0]->end();
+  fixture.runFor(std::chrono::milliseconds(20));
+  CHECK(pending.size() == 2);
+}
