Pipelined requests that have been read are answered in a drain

Cause: a response in a drain announced the close also when a further request had been read. That request was dropped, and no line told of it. What callers saw: no answer to a request that the host had read. Change: the close is announced by the response to the last request that has been read. Bytes that arrive while a response that announced the close is sent are reported as those that arrive after it. Result: found by reading; no report of callers names it.

--- a/src/auburnspring/http/server_connection.cpp
+++ b/src/auburnspring/http/server_connection.cpp
@@ -112,8 +112,8 @@
 
 void ServerConnection::onRead(std::size_t bytes) {
   if (lingering_ || rejected_) {
-    if (lingering_ && !rejected_ && !std::exchange(reportedDiscard_, true))
-      server_->reportClosedWithBytes("after_response", bytes);
+    if (lingering_ && !rejected_)
+      reportDiscard(bytes);
     return read();
   }
   unparsed_.append(buffer_.data(), bytes);
@@ -121,6 +121,11 @@
   read();
 }
 
+void ServerConnection::reportDiscard(std::size_t bytes) {
+  if (bytes > 0 && !std::exchange(reportedDiscard_, true))
+    server_->reportClosedWithBytes("after_response", bytes);
+}
+
 void ServerConnection::parse() {
   while (!closed_ && !rejected_ && !lingering_ && !exchange_ &&
          !unparsed_.empty()) {
@@ -178,7 +183,8 @@
 
 void ServerConnection::writeHead(ResponseHead response, bool chunked) {
   chunked_ = chunked;
-  if (server_->isDraining())
+  // Further requests that have been read are answered, the last with a close.
+  if (server_->isDraining() && unparsed_.empty())
     closeAfterResponse_ = true;
   if (chunked)
     response.headers.add("Transfer-Encoding", "chunked");
@@ -249,6 +255,7 @@
     asio::error_code ignored;
     socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
     lingering_ = true;
+    reportDiscard(unparsed_.size());
     unparsed_.clear();
     armTimer(CloseLinger);
     return read();
--- a/src/auburnspring/http/server_connection.h
+++ b/src/auburnspring/http/server_connection.h
@@ -42,6 +42,8 @@
   void onHead();
   void onRequest();
   void reject(int status);
+  /// Reports bytes that follow the last response, once.
+  void reportDiscard(std::size_t bytes);
   void write();
   void onWritten();
   void armTimer(Duration span);
--- a/src/auburnspring/http/server_connection_test.cpp
+++ b/src/auburnspring/http/server_connection_test.cpp
@@ -62,3 +62,23 @@
   fixture.runFor(std::chrono::milliseconds(20));
   CHECK(pending.size() == 2);
 }
+
+TEST_CASE("a pipelined request is answered although the host drains") {
+  ServerFixture fixture;
+  std::vector<std::shared_ptr<Exchange>> pending;
+  fixture.handler = [&](std::shared_ptr<Exchange> exchange) {
+    pending.push_back(std::move(exchange));
+    if (pending.size() == 2)
+      pending[1]->respond({200, {}}, "two");
+  };
+  Tcp::socket caller = fixture.connect();
+  asio::write(caller, asio::buffer(Request + Request));
+  fixture.runUntil([&] { return pending.size() == 1; });
+  fixture.runFor(std::chrono::milliseconds(20));
+  fixture.server.drain(std::chrono::seconds(2));
+  pending[0]->respond({200, {}}, "one");
+  CHECK(fixture.readAll(&caller) ==
+        "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\none"
+        "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n"
+        "Connection: close\r\n\r\ntwo");
+}
