A raised limit on request heads applies to open connections

Cause: a connection's reader kept the limit in force when the connection was opened. What callers saw: 431 for a head that the configuration in force allows. Change: the limit is taken anew for each request, as setLimits() states. Result: found by reading; no report of callers names it.

--- a/include/auburnspring/http/message_reader.h
+++ b/include/auburnspring/http/message_reader.h
@@ -32,6 +32,9 @@
   MessageReader(const MessageReader &) = delete;
   MessageReader &operator=(const MessageReader &) = delete;
 
+  /// Applies from the next message on.
+  void setMaxHeadBytes(std::size_t bytes);
+
   /// Consumes bytes up to the end of the current message and returns how many.
   /// After an error the reader must not be used again.
   absl::StatusOr<std::size_t> feed(std::string_view bytes);
--- a/src/auburnspring/http/message_reader.cpp
+++ b/src/auburnspring/http/message_reader.cpp
@@ -153,6 +153,10 @@
 
 MessageReader::~MessageReader() = default;
 
+void MessageReader::setMaxHeadBytes(std::size_t bytes) {
+  impl_->maxHeadBytes = bytes;
+}
+
 absl::StatusOr<std::size_t> MessageReader::feed(std::string_view bytes) {
   impl_->messageEnded = false;
   const std::size_t consumed = http_parser_execute(
--- a/src/auburnspring/http/server_connection.cpp
+++ b/src/auburnspring/http/server_connection.cpp
@@ -131,6 +131,7 @@
          !unparsed_.empty()) {
     if (!reader_.isInMessage()) {
       receivedAt_ = steadyNow();
+      reader_.setMaxHeadBytes(server_->limits().maxHeadBytes);
       armTimer(server_->limits().headTimeout);
     }
     const std::string bytes = std::move(unparsed_);
--- a/src/auburnspring/http/server_connection_test.cpp
+++ b/src/auburnspring/http/server_connection_test.cpp
@@ -82,3 +82,21 @@
         "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n"
         "Connection: close\r\n\r\ntwo");
 }
+
+TEST_CASE("a raised limit on heads applies to connections that are open") {
+  ServerFixture fixture;
+  ServerLimits limits;
+  limits.maxHeadBytes = 200;
+  fixture.server.setLimits(limits);
+  fixture.handler = [](const std::shared_ptr<Exchange> &exchange) {
+    exchange->respond({200, {}}, "one");
+  };
+  Tcp::socket caller = fixture.connect();
+  fixture.runFor(std::chrono::milliseconds(20));
+  limits.maxHeadBytes = 1000;
+  fixture.server.setLimits(limits);
+  asio::write(caller,
+              asio::buffer("GET / HTTP/1.1\r\nConnection: close\r\nA: " +
+                           std::string(300, 'x') + "\r\n\r\n"));
+  CHECK(fixture.readAll(&caller).substr(0, 12) == "HTTP/1.1 200");
+}
