--- a/src/auburnspring/serving/piece_dispatcher.cpp
+++ b/src/auburnspring/serving/piece_dispatcher.cpp
@@ -261,6 +261,8 @@
   const std::string body = dialect_->batchBody(batch.items);
   http::CallOptions options;
   options.endpoint = batch.upstream->entry.endpoint;
+  options.upstream = batch.upstream->entry.id;
+  options.maxBodyBytes = MaxResponseBytes;
   http::ClientCallbacks callbacks;
   callbacks.onHead = [this, number](const http::ResponseHead &head) {
     BatchCall &entry = batches_.at(number);
@@ -271,9 +273,7 @@
                             steadyNow());
   };
   callbacks.onBody = [this, number](std::string_view bytes) {
-    BatchCall &entry = batches_.at(number);
-    if (entry.body.size() < MaxResponseBytes)
-      entry.body.append(bytes);
+    batches_.at(number).body.append(bytes);
   };
   call.timer = std::make_unique<asio::steady_timer>(io_);
   callbacks.onEnd = [this, number](http::CallStatus callStatus,
@@ -382,6 +382,7 @@
     };
     http::CallOptions options;
     options.endpoint = *endpoint;
+    options.maxBodyBytes = MaxResponseBytes;
     ReleaseCall &release = releases_[number];
     release.timer = std::make_unique<asio::steady_timer>(io_, ReleaseTimeout);
     release.timer->async_wait([onReleased](asio::error_code error) {
