An attempt of the product's own interface ends at its deadline

Cause: AttemptRunner set timeouts for single reads and read lines of any length. What callers saw: nothing; but bytes that trickle kept an at-most-once attempt's thread for good, which is not cancelled at the deadline, and a line without end its memory. Change: a watcher shuts a socket down at its attempt's deadline, and a line, or what comes between two events with text, is bounded by maxResponseBytes. Beyond it one line response_unbounded is written. Sockets by attempt move to a file of their own. Evidence: attempt_runner_test, seven sections. Before, six failed (a line and comments without end: all 32 MB were read; four trickles ran for the test's 4 s at a deadline of 0.3 s); the body of a call passed, a guard. All pass, twice. Result: upstream_test passes. Endless 100 Continue responses are bounded by the deadline alone.

--- a/include/auburnspring/upstream/attempt_runner.h
+++ b/include/auburnspring/upstream/attempt_runner.h
@@ -19,6 +19,9 @@
     /// A stream that receives no data for this long fails: the connection may
     /// be lost although the upstream is alive.
     Duration streamIdleTimeout = std::chrono::milliseconds(1500);
+    /// Limit on a body, on the text of a stream, and on what a stream sends
+    /// between two events with text. Time bounds all else: an attempt fails
+    /// shortly after its deadline, also while bytes trickle.
     std::size_t maxResponseBytes = 8 << 20;
   };
 
--- a/src/auburnspring/upstream/attempt_runner.cpp
+++ b/src/auburnspring/upstream/attempt_runner.cpp
@@ -1,5 +1,7 @@
 #include "auburnspring/upstream/attempt_runner.h"
 
+#include "attempt_sockets.h"
+#include "auburnspring/base/log.h"
 #include "auburnspring/upstream/upstream_protocol.h"
 
 #include <Poco/Exception.h>
@@ -13,8 +15,6 @@
 #include <absl/strings/str_cat.h>
 
 #include <istream>
-#include <map>
-#include <mutex>
 #include <ostream>
 
 namespace auburnspring {
@@ -31,70 +31,26 @@
   return std::max(MinTimeout, deadline - now);
 }
 
-Poco::Timespan toTimespan(Duration duration) { return {duration.count()}; }
-
-// Sockets by attempt, so that a cancellation can shut them down.
-class SocketRegistry {
-public:
-  void add(const AttemptId &id, const Poco::Net::StreamSocket &socket) {
-    const std::lock_guard<std::mutex> lock(mutex_);
-    Entry &entry = entries_[id];
-    entry.socket = socket;
-    entry.connected = true;
-    if (entry.cancelled)
-      shutdownSocket(&entry.socket);
-  }
-
-  void addPending(const AttemptId &id) {
-    const std::lock_guard<std::mutex> lock(mutex_);
-    entries_[id];
-  }
-
-  void cancel(const AttemptId &id) {
-    const std::lock_guard<std::mutex> lock(mutex_);
-    const auto found = entries_.find(id);
-    if (found == entries_.end())
-      return;
-    found->second.cancelled = true;
-    if (found->second.connected)
-      shutdownSocket(&found->second.socket);
-  }
-
-  /// Removes the attempt; true if it was cancelled.
-  bool remove(const AttemptId &id) {
-    const std::lock_guard<std::mutex> lock(mutex_);
-    const auto found = entries_.find(id);
-    if (found == entries_.end())
-      return false;
-    const bool cancelled = found->second.cancelled;
-    entries_.erase(found);
-    return cancelled;
-  }
-
-private:
-  struct Entry {
-    Poco::Net::StreamSocket socket;
-    bool connected = false;
-    bool cancelled = false;
-  };
-
-  static void shutdownSocket(Poco::Net::StreamSocket *socket) {
-    try {
-      socket->shutdown();
-    } catch (const Poco::Exception &) {
-      // Already closed.
-    }
+/// Reads a line without its end of at most `maxBytes` bytes. Returns false at
+/// the end of the stream; a line that is too long is returned in part.
+bool readLine(std::istream &stream, std::size_t maxBytes, std::string *line) {
+  line->clear();
+  char c = 0;
+  while (line->size() <= maxBytes && stream.get(c)) {
+    if (c == '\n')
+      return true;
+    line->push_back(c);
   }
+  return !line->empty();
+}
 
-  std::mutex mutex_;
-  std::map<AttemptId, Entry> entries_;
-};
+Poco::Timespan toTimespan(Duration duration) { return {duration.count()}; }
 
 // Runs one attempt; deletes itself at the end of run().
 class AttemptTask : public Poco::Runnable {
 public:
   AttemptTask(StartAttempt attempt, AttemptRunner::Options options,
-              SocketRegistry *sockets,
+              AttemptSockets *sockets,
               const AttemptRunner::EventCallback *onEvent)
       : attempt_(std::move(attempt)), options_(options), sockets_(sockets),
         onEvent_(onEvent) {}
@@ -160,6 +116,15 @@
     return readBody(responseBody, response);
   }
 
+  Event unbounded(const char *part, std::size_t bytes) const {
+    logEvent(LogLevel::Warning, "response_unbounded",
+             {{"upstream", attempt_.upstream},
+              {"in", part},
+              {"bytes", static_cast<unsigned long>(bytes)}});
+    return failure(FailureKind::ResponseLost,
+                   "the response exceeds the size limit");
+  }
+
   Event readBody(std::istream &stream,
                  const Poco::Net::HTTPResponse &response) const {
     std::string body;
@@ -167,8 +132,7 @@
     while (stream.read(buffer, sizeof buffer) || stream.gcount() > 0) {
       body.append(buffer, static_cast<std::size_t>(stream.gcount()));
       if (body.size() > options_.maxResponseBytes)
-        return failure(FailureKind::ResponseLost,
-                       "the response exceeds the size limit");
+        return unbounded("body", body.size());
     }
     const std::streamsize contentLength = response.getContentLength();
     if (contentLength != static_cast<std::streamsize>(body.size()))
@@ -180,7 +144,12 @@
   Event readStream(std::istream &stream) const {
     std::string text = attempt_.resumeText;
     std::string line;
-    while (std::getline(stream, line)) {
+    // Since the last event with text.
+    std::size_t idleBytes = 0;
+    while (readLine(stream, options_.maxResponseBytes, &line)) {
+      idleBytes += line.size() + 1;
+      if (idleBytes > options_.maxResponseBytes)
+        return unbounded("event", idleBytes);
       if (!line.empty() && line.back() == '\r')
         line.pop_back();
       if (!absl::StartsWith(line, "data: "))
@@ -194,9 +163,10 @@
         return failure(FailureKind::ResponseLost,
                        "the stream has a gap in its offsets");
       text += event->text;
+      if (!event->text.empty())
+        idleBytes = 0;
       if (text.size() > options_.maxResponseBytes)
-        return failure(FailureKind::ResponseLost,
-                       "the response exceeds the size limit");
+        return unbounded("body", text.size());
       if (event->done)
         return AttemptSucceeded{attempt_.attempt, std::move(text),
                                 event->usage};
@@ -209,7 +179,7 @@
 
   StartAttempt attempt_;
   AttemptRunner::Options options_;
-  SocketRegistry *sockets_;
+  AttemptSockets *sockets_;
   const AttemptRunner::EventCallback *onEvent_;
 };
 
@@ -222,7 +192,7 @@
         pool_(MinThreads, std::max(MinThreads, options.maxThreads)) {}
 
   void start(StartAttempt attempt) {
-    sockets_.addPending(attempt.attempt);
+    sockets_.addPending(attempt.attempt, attempt.deadline);
     auto task = std::make_unique<AttemptTask>(std::move(attempt), options_,
                                               &sockets_, &onEvent_);
     AttemptTask *raw = task.release();
@@ -241,7 +211,7 @@
 private:
   Options options_;
   EventCallback onEvent_;
-  SocketRegistry sockets_;
+  AttemptSockets sockets_;
   Poco::ThreadPool pool_;
 };
 
