--- a/src/auburnspring/http/server_connection.cpp
+++ b/src/auburnspring/http/server_connection.cpp
@@ -2,6 +2,7 @@
 
 #include "auburnspring/base/clock.h"
 
+#include <asio/post.hpp>
 #include <asio/write.hpp>
 
 #include <algorithm>
@@ -111,8 +112,8 @@
 
 void ServerConnection::onRead(std::size_t bytes) {
   if (lingering_ || rejected_) {
-    if (lingering_ && !rejected_ && !std::exchange(reportedDiscard_, true))
-      server_->reportClosedWithBytes("after_response", bytes);
+    if (lingering_ && !rejected_)
+      reportDiscard(bytes);
     return read();
   }
   unparsed_.append(buffer_.data(), bytes);
@@ -120,11 +121,17 @@
   read();
 }
 
+void ServerConnection::reportDiscard(std::size_t bytes) {
+  if (bytes > 0 && !std::exchange(reportedDiscard_, true))
+    server_->reportClosedWithBytes("after_response", bytes);
+}
+
 void ServerConnection::parse() {
   while (!closed_ && !rejected_ && !lingering_ && !exchange_ &&
          !unparsed_.empty()) {
     if (!reader_.isInMessage()) {
       receivedAt_ = steadyNow();
+      reader_.setMaxHeadBytes(server_->limits().maxHeadBytes);
       armTimer(server_->limits().headTimeout);
     }
     const std::string bytes = std::move(unparsed_);
@@ -154,7 +161,7 @@
 void ServerConnection::onRequest() {
   if (bodyTooLarge_)
     return reject(413);
-  timer_.cancel();
+  disarmTimer();
   if (!reader_.shouldKeepAlive())
     closeAfterResponse_ = true;
   responseEnded_ = false;
@@ -177,7 +184,8 @@
 
 void ServerConnection::writeHead(ResponseHead response, bool chunked) {
   chunked_ = chunked;
-  if (server_->isDraining())
+  // Further requests that have been read are answered, the last with a close.
+  if (server_->isDraining() && unparsed_.empty())
     closeAfterResponse_ = true;
   if (chunked)
     response.headers.add("Transfer-Encoding", "chunked");
@@ -203,6 +211,13 @@
   responseEnded_ = true;
   exchange_.reset();
   write();
+  if (inFlightBytes_ > 0 || closed_)
+    return;
+  // All is written already: the response to a HEAD request on a stream.
+  asio::post(socket_.get_executor(), [self = shared_from_this()] {
+    if (!self->closed_)
+      self->onWritten();
+  });
 }
 
 void ServerConnection::write() {
@@ -241,6 +256,7 @@
     asio::error_code ignored;
     socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
     lingering_ = true;
+    reportDiscard(unparsed_.size());
     unparsed_.clear();
     armTimer(CloseLinger);
     return read();
@@ -252,13 +268,20 @@
 }
 
 void ServerConnection::armTimer(Duration span) {
+  // A handler that is queued already can't be cancelled any more.
+  const std::uint64_t armed = ++timerNumber_;
   timer_.expires_after(span);
-  timer_.async_wait([self = shared_from_this()](asio::error_code error) {
-    if (!error && !self->closed_)
+  timer_.async_wait([self = shared_from_this(), armed](asio::error_code error) {
+    if (!error && !self->closed_ && armed == self->timerNumber_)
       self->onTimer();
   });
 }
 
+void ServerConnection::disarmTimer() {
+  ++timerNumber_;
+  timer_.cancel();
+}
+
 void ServerConnection::onTimer() {
   if (exchange_)
     return;
