Soak: upstreams of several versions that fall silent, callers that resume streams

Cause: no run had upstreams of two software versions, a sound upstream that falls silent, or a caller that takes a broken stream up again, so none could see events of two versions in one stream. What callers saw: streams whose events two software versions wrote. Change: fault set 3 has six model upstreams of three versions, long streams, silences (no disruption is recorded for them), releases and crashes, and after the mixed faults a time in which streams break while hosts are connected. Callers resume a stream twice at most on a new connection. StreamChecker checks ORDER and the share of resumed streams that go on; a response that ends because its only upstream is silent counts as LOST whatever disrupts other upstreams; an event must be of a version that ran its request. Sets 1 and 2 have the upstreams, streams and draws that they had.

--- a/soak/fault_injector.cpp
+++ b/soak/fault_injector.cpp
@@ -23,6 +23,9 @@
 constexpr Duration RewriteDelay = std::chrono::milliseconds(700);
 /// Share of the upstreams that a fault affects at the same time.
 constexpr double FaultyUpstreamShare = 0.4;
+/// How long a sound upstream falls silent.
+constexpr Duration MinSilence = std::chrono::milliseconds(800);
+constexpr Duration MaxSilence = std::chrono::milliseconds(1500);
 
 } // namespace
 
@@ -69,6 +72,12 @@
       {"store_restored", &Self::storeRestored, 2},
       {"store_restored", &Self::storeRestored, 2},
       {"workers_refuse_hosts", &Self::upstreamsRefuseHosts, 2},
+      {"workers_fall_silent", &Self::upstreamsFallSilent, 3},
+      {"workers_fall_silent", &Self::upstreamsFallSilent, 3},
+      {"release_worker", &Self::releaseUpstream, 3},
+      {"release_worker", &Self::releaseUpstream, 3},
+      {"crash_worker", &Self::crashUpstream, 3},
+      {"crash_worker", &Self::crashUpstream, 3},
   };
   kinds.erase(
       std::remove_if(kinds.begin(), kinds.end(),
@@ -79,6 +88,15 @@
 
 void FaultInjector::inject(Duration span) { scheduleNext(steadyNow() + span); }
 
+void FaultInjector::injectStreamFaults(Duration span) {
+  using Self = FaultInjector;
+  kinds_ = {{"workers_fall_silent", &Self::upstreamsFallSilent},
+            {"release_worker", &Self::releaseUpstream},
+            {"crash_worker", &Self::crashUpstream},
+            {"reset_callers", &Self::resetCallersOfFirstHost}};
+  inject(span);
+}
+
 void FaultInjector::scheduleNext(TimePoint until) {
   std::uniform_int_distribution<std::int64_t> gap(0, MaxFaultGap.count());
   runAfter(Duration(gap(random_)), [this, until] {
@@ -136,6 +154,17 @@
   return listed[any(random_)];
 }
 
+SoakUpstream *FaultInjector::randomModelUpstream() {
+  std::vector<SoakUpstream *> listed;
+  for (const auto &upstream : cluster_->upstreams())
+    if (upstream->isListed && upstream->service == "models")
+      listed.push_back(upstream.get());
+  if (listed.empty())
+    return nullptr;
+  std::uniform_int_distribution<std::size_t> any(0, listed.size() - 1);
+  return listed[any(random_)];
+}
+
 LinkState FaultInjector::randomLinkFault() {
   static constexpr LinkState States[] = {LinkState::Cut, LinkState::CutForward,
                                          LinkState::CutBack, LinkState::Delayed,
@@ -191,12 +220,17 @@
   impairLink(host->callerLink.get(), randomLinkFault(), host->name, span);
 }
 
-void FaultInjector::resetCallers(Duration) {
-  SoakHost *host = randomHost();
+void FaultInjector::resetCallersOf(SoakHost *host) {
   host->callerLink->resetConnections();
   disruptFor(host->name, Duration(0), [] {});
 }
 
+void FaultInjector::resetCallers(Duration) { resetCallersOf(randomHost()); }
+
+void FaultInjector::resetCallersOfFirstHost(Duration) {
+  resetCallersOf(cluster_->hosts().front().get());
+}
+
 void FaultInjector::impairPeerLink(Duration span) {
   impairLink(randomHost()->peerLink.get(), randomLinkFault(), "world", span);
 }
@@ -284,17 +318,21 @@
 }
 
 void FaultInjector::impairUpstreamLink(Duration span) {
-  impairLink(randomUpstream()->link.get(), randomLinkFault(), "workers", span);
+  SoakUpstream *upstream = randomUpstream();
+  impairLink(upstream->link.get(), randomLinkFault(), "workers", span);
+  disruptFor(upstream->server->id(), span, [] {});
 }
 
 void FaultInjector::blackholeUpstream(Duration) {
-  randomUpstream()->link->blackholeConnections();
+  SoakUpstream *upstream = randomUpstream();
+  upstream->link->blackholeConnections();
   disruptFor("workers", Duration(0), [] {});
+  disruptFor(upstream->server->id(), Duration(0), [] {});
 }
 
 void FaultInjector::replaceUpstream(Duration) {
   SoakUpstream *upstream = randomUpstream();
-  cluster_->addUpstream(upstream->service);
+  cluster_->addUpstream(upstream->service, upstream->server->softwareVersion);
   cluster_->drainUpstream(upstream);
 }
 
@@ -305,6 +343,55 @@
              [this, upstream] { cluster_->listUpstream(upstream); });
 }
 
+// No disruption is recorded: a sound upstream's silence excuses nothing.
+void FaultInjector::upstreamsFallSilent(Duration span) {
+  std::uniform_int_distribution<std::int64_t> silence(MinSilence.count(),
+                                                      MaxSilence.count());
+  std::uniform_int_distribution<int> event(1,
+                                           cluster_->options().eventsPerStream);
+  std::bernoulli_distribution isSilent(FaultyUpstreamShare);
+  std::vector<platform::FakeUpstreamServer *> silent;
+  for (const auto &upstream : cluster_->upstreams()) {
+    platform::FakeUpstreamServer *server = upstream->server.get();
+    if (upstream->service != "models" || !isSilent(random_))
+      continue;
+    const Duration pause(silence(random_));
+    // Half of them before the first event.
+    const bool beforeFirst = std::bernoulli_distribution(0.5)(random_);
+    const int number = event(random_);
+    if (server->faultMode != FaultMode::NoFault)
+      continue;
+    server->pause = pause;
+    server->pausesBeforeEvent = beforeFirst ? 1 : number;
+    server->faultMode = FaultMode::PausesStream;
+    silent.push_back(server);
+  }
+  runAfter(span, [silent] {
+    for (platform::FakeUpstreamServer *server : silent)
+      if (server->faultMode == FaultMode::PausesStream)
+        server->faultMode = FaultMode::NoFault;
+  });
+}
+
+void FaultInjector::releaseUpstream(Duration) {
+  SoakUpstream *upstream = randomModelUpstream();
+  if (upstream == nullptr)
+    return;
+  std::vector<std::string> others;
+  for (const std::string &version : cluster_->options().modelVersions)
+    if (version != upstream->server->softwareVersion)
+      others.push_back(version);
+  std::uniform_int_distribution<std::size_t> any(0, others.size() - 1);
+  cluster_->addUpstream(upstream->service, others[any(random_)]);
+  cluster_->drainUpstream(upstream);
+}
+
+void FaultInjector::crashUpstream(Duration) {
+  SoakUpstream *upstream = randomModelUpstream();
+  if (upstream != nullptr)
+    cluster_->crashUpstream(upstream);
+}
+
 // Configuration.
 
 void FaultInjector::changeConfiguration(Duration) {
--- a/soak/fault_injector.h
+++ b/soak/fault_injector.h
@@ -14,7 +14,9 @@
 public:
   /// Kinds of faults that were added together. A seed's sequence depends on the
   /// kinds, so a seed that failed is kept with the set it failed with.
-  static constexpr int LatestFaultSet = 2;
+  static constexpr int LatestFaultSet = 3;
+  /// First set with upstreams of several software versions.
+  static constexpr int VersionsFaultSet = 3;
 
   FaultInjector(asio::io_context &io, SoakCluster *cluster,
                 GuaranteeChecker *checker, std::uint64_t seed,
@@ -22,6 +24,9 @@
 
   /// Injects faults that begin and end within the span, which starts now.
   void inject(Duration span);
+  /// As above, with faults of upstreams and of one host's connections only, so
+  /// that streams break while the other hosts are connected.
+  void injectStreamFaults(Duration span);
 
 private:
   struct Kind {
@@ -45,8 +50,11 @@
                      Duration span);
   void setUpstreamFaults(platform::FakeUpstreamServer::FaultMode faultMode,
                          Duration span);
+  void resetCallersOf(SoakHost *host);
   SoakHost *randomHost();
   SoakUpstream *randomUpstream();
+  /// Null if none is listed.
+  SoakUpstream *randomModelUpstream();
   LinkState randomLinkFault();
 
   void killHost(Duration span);
@@ -78,6 +86,10 @@
   void blackholeUpstream(Duration span);
   void replaceUpstream(Duration span);
   void unlistUpstream(Duration span);
+  void upstreamsFallSilent(Duration span);
+  void releaseUpstream(Duration span);
+  void crashUpstream(Duration span);
+  void resetCallersOfFirstHost(Duration span);
   void changeConfiguration(Duration span);
   void burstOfConfigurations(Duration span);
 
--- a/soak/guarantee_checker.cpp
+++ b/soak/guarantee_checker.cpp
@@ -143,13 +143,15 @@
 }
 
 void GuaranteeChecker::onRun(const std::string &id, const std::string &pool,
-                             TimePoint at) {
+                             TimePoint at, std::string_view version) {
   const auto found = calls_.find(id);
   if (found == calls_.end())
     return;
   Call &call = found->second;
   if (++call.runs == 1)
     call.firstRunAt = at;
+  if (!version.empty())
+    call.versions.emplace(version);
   if (call.runs > 1 && isAtMostOnce(call.sent.kind))
     reportViolation("TWICE", fmt::format("{} ran {} times in pool {}", id,
                                          call.runs, pool));
@@ -158,21 +160,46 @@
   checkConfiguration(call, at, true);
 }
 
+void GuaranteeChecker::onEvent(const std::string &id, int number,
+                               std::string_view version) {
+  const Call &call = calls_.at(id);
+  if (call.versions.find(version) == call.versions.end())
+    reportViolation("MIXED",
+                    fmt::format("{} got event {} of version {}, which did not "
+                                "run it",
+                                id, number, version));
+  streams_.onEvent(call.sent, number, version);
+}
+
+void GuaranteeChecker::onLeftInPause(const std::string &id,
+                                     const std::string &upstream) {
+  const auto found = calls_.find(id);
+  if (found == calls_.end())
+    return;
+  Call &call = found->second;
+  call.pausedUpstream = upstream;
+  if (call.isFinished && !call.isServed() && !call.outcome.isAbandoned)
+    checkLost(&call);
+}
+
 void GuaranteeChecker::onOutcome(const std::string &id,
                                  const CallOutcome &outcome, TimePoint at) {
   Call &call = calls_.at(id);
   call.outcome = outcome;
   call.isFinished = true;
   call.finishedAt = at;
+  streams_.onOutcome(call.sent, outcome,
+                     isConnected(call.sent.host, call.sent.sentAt, at), at);
   if (outcome.isAbandoned)
     return;
-  if (outcome.status == 200 && outcome.isComplete)
+  if (call.isServed())
     ++served_;
   checkRefusal(call);
   checkBody(call);
   checkConfiguration(call, at, false);
-  if (outcome.status == 0 || !outcome.isComplete)
-    checkLost(call);
+  if (outcome.status == 0 || !outcome.isComplete ||
+      (!call.isServed() && !call.pausedUpstream.empty()))
+    checkLost(&call);
   const SentCall &sent = call.sent;
   if (at < sent.deadline || !isConnected(sent.host, sent.sentAt, at))
     return;
@@ -239,21 +266,30 @@
                     toMillis(sent.sentAt - published->second)));
 }
 
-void GuaranteeChecker::checkLost(const Call &call) {
+void GuaranteeChecker::checkLost(Call *lost) {
+  const Call &call = *lost;
   const SentCall &sent = call.sent;
   const TimePoint at = call.finishedAt;
   const TimePoint from = sent.sentAt - bounds_.settlingTime;
-  const bool isUndisrupted = disruptions_.isUndisrupted(sent.host, from, at) &&
-                             disruptions_.isUndisrupted("store", from, at) &&
-                             disruptions_.isUndisrupted("world", from, at) &&
-                             disruptions_.isUndisrupted("workers", from, at);
+  // Disruptions of other upstreams don't excuse that the only one that ran the
+  // request was left while it was silent but sound.
+  const bool wasOnlySilent =
+      call.runs == 1 && !call.pausedUpstream.empty() &&
+      disruptions_.isUndisrupted(call.pausedUpstream, sent.sentAt, at);
+  const bool isUndisrupted =
+      disruptions_.isUndisrupted(sent.host, from, at) &&
+      disruptions_.isUndisrupted("store", from, at) &&
+      disruptions_.isUndisrupted("world", from, at) &&
+      (wasOnlySilent || disruptions_.isUndisrupted("workers", from, at));
   const bool wasAccepted =
       call.runs > 0 || at > sent.sentAt + bounds_.acceptSlack;
-  if (!isUndisrupted || !wasAccepted || at >= sent.deadline)
+  if (!isUndisrupted || !wasAccepted || at >= sent.deadline || call.isLost)
     return;
+  lost->isLost = true;
   const std::string text =
-      fmt::format("{} at {} had no complete response after {} ms, {} runs",
-                  sent.id, sent.host, toMillis(at - sent.sentAt), call.runs);
+      fmt::format("{} at {} had no complete response after {} ms, {} runs{}",
+                  sent.id, sent.host, toMillis(at - sent.sentAt), call.runs,
+                  wasOnlySilent ? ", its upstream silent" : "");
   if (!disruptions_.isUndisrupted(stopSubject(sent.host), sent.sentAt, at))
     return reportViolation("LOST", text + ", during a planned stop");
   if (++lostUndisrupted_ > LostLimit)
@@ -302,6 +338,8 @@
 
 void GuaranteeChecker::checkAtEnd(TimePoint recoveredAt) {
   checkRetryBudget();
+  for (std::string &violation : streams_.violations())
+    violations_.push_back(std::move(violation));
   if (overdue_ >= OverdueLimit &&
       static_cast<double>(overdue_) >
           OverdueShareLimit * static_cast<double>(reachedDeadline_))
--- a/soak/guarantee_checker.h
+++ b/soak/guarantee_checker.h
@@ -1,45 +1,20 @@
 #ifndef AUBURNSPRING_SOAK_GUARANTEE_CHECKER_H
 #define AUBURNSPRING_SOAK_GUARANTEE_CHECKER_H
 
+#include "soak/call_outcome.h"
 #include "soak/disruption_log.h"
+#include "soak/sent_call.h"
+#include "soak/stream_checker.h"
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace auburnspring::soak {
 
-/// Response form of a request, and whether it may be retried after it ran.
-enum class CallKind { AtMostOnce, Retryable, Stream, AtMostOnceStream };
-
-/// One request as its caller sent it.
-struct SentCall {
-  std::string id;
-  CallKind kind = CallKind::AtMostOnce;
-  std::string host;
-  /// Start count of that host's process.
-  std::uint64_t incarnation = 0;
-  /// Configuration version whose route it names; 0 for a route that every
-  /// version has.
-  std::int64_t version = 0;
-  TimePoint sentAt;
-  /// When it must have a final response.
-  TimePoint deadline;
-};
-
-/// How a request ended for its caller.
-struct CallOutcome {
-  /// 0 if the connection ended without a response.
-  int status = 0;
-  bool isComplete = false;
-  /// The whole body is the upstream's response to this request.
-  bool bodyMatches = false;
-  bool isSigned = false;
-  /// The caller closed its connection before the end.
-  bool isAbandoned = false;
-};
-
 /// Bounds of the guarantees, as documented for users.
 struct GuaranteeBounds {
   /// From the end of a disruption until time bounds apply again.
@@ -72,8 +47,14 @@
   DisruptionLog &disruptions() { return disruptions_; }
 
   void onSent(const SentCall &call);
-  /// An upstream starts to execute the request.
-  void onRun(const std::string &id, const std::string &pool, TimePoint at);
+  /// An upstream, of the software version if given, starts to execute the
+  /// request.
+  void onRun(const std::string &id, const std::string &pool, TimePoint at,
+             std::string_view version = {});
+  /// The caller gets an event of a stream from that software version.
+  void onEvent(const std::string &id, int number, std::string_view version);
+  /// The host closes its connection to an upstream that is silent for a while.
+  void onLeftInPause(const std::string &id, const std::string &upstream);
   /// An upstream receives the request, whether or not it executes it.
   void onArrival(const std::string &id, const std::string &pool,
                  const std::string &upstream, TimePoint at);
@@ -109,6 +90,7 @@
   const std::vector<std::string> &violations() const { return violations_; }
   std::size_t sentCount() const { return calls_.size(); }
   std::size_t servedCount() const { return served_; }
+  const StreamChecker &streams() const { return streams_; }
   /// Share of the requests sent after `recoveredAt` that were served.
   double recoveredShare() const { return recoveredShare_; }
 
@@ -121,6 +103,15 @@
     std::int64_t runs = 0;
     TimePoint firstRunAt;
     std::int64_t arrivals = 0;
+    /// Software versions of the upstreams that ran it.
+    std::set<std::string, std::less<>> versions;
+    /// The upstream that was left in its pause.
+    std::string pausedUpstream;
+    bool isLost = false;
+
+    bool isServed() const {
+      return outcome.status == 200 && outcome.isComplete;
+    }
   };
 
   /// An incarnation of a host, as seen by one upstream.
@@ -144,12 +135,13 @@
   void checkRefusal(const Call &call);
   void checkBody(const Call &call);
   void checkConfiguration(const Call &call, TimePoint at, bool isServed);
-  void checkLost(const Call &call);
+  void checkLost(Call *call);
   void checkRetryBudget();
 
   GuaranteeBounds bounds_;
   DisruptionLog disruptions_;
   std::map<std::string, Call> calls_;
+  StreamChecker streams_;
   std::map<std::int64_t, TimePoint> publishedAt_;
   std::map<std::string, TimePoint> drainingSince_;
   /// Newest version that each incarnation of a host has served, and when.
--- a/soak/guarantee_checker_test.cpp
+++ b/soak/guarantee_checker_test.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <tuple>
+
 using namespace auburnspring;
 using namespace auburnspring::soak;
 
@@ -186,3 +188,157 @@
   checker.checkAtEnd(at(0));
   CHECK(firstViolation(checker) == "BUDGET");
 }
+
+namespace {
+
+SentCall resumingCall(const std::string &id, const std::string &first,
+                      std::int64_t sentAt, int lastEventId) {
+  SentCall sent = call(id, CallKind::Stream, sentAt);
+  sent.resumedId = first;
+  sent.lastEventId = lastEventId;
+  sent.upstreamsOfVersion = 2;
+  return sent;
+}
+
+/// A stream whose first request brings events 1 and 2 of v1, and whose second
+/// brings event 3 of the version.
+void resumeStream(GuaranteeChecker *checker, const std::string &id,
+                  const std::string &version, bool goesOn = true) {
+  const SentCall first = call(id, CallKind::Stream, 0);
+  const SentCall second = resumingCall(id + "+", id, 20, 2);
+  checker->onSent(first);
+  checker->onRun(first.id, "models", at(1), "v1");
+  checker->onEvent(first.id, 1, "v1");
+  checker->onEvent(first.id, 2, "v1");
+  checker->onOutcome(first.id, outcome(0), at(10));
+  checker->onSent(second);
+  if (goesOn) {
+    checker->onRun(second.id, "models", at(21), version);
+    checker->onEvent(second.id, 3, version);
+  }
+  checker->onOutcome(second.id, outcome(goesOn ? 200 : 503), at(30));
+}
+
+GuaranteeChecker checkerWithDisruptedUpstreams() {
+  GuaranteeChecker checker{GuaranteeBounds()};
+  checker.disruptions().recordStart("workers", at(0));
+  return checker;
+}
+
+} // namespace
+
+TEST_CASE("more than two streams of two software versions are a violation, "
+          "even at a disrupted host") {
+  for (const bool isDisrupted : {false, true}) {
+    GuaranteeChecker checker = checkerWithDisruptedUpstreams();
+    if (isDisrupted)
+      checker.disruptions().recordStart("h", at(0));
+    resumeStream(&checker, "same", "v1");
+    resumeStream(&checker, "a", "v2");
+    resumeStream(&checker, "b", "v1.1");
+    CHECK(checker.streams().violations().empty());
+    CHECK(checker.streams().mixedStreams().size() == 2);
+    resumeStream(&checker, "c", "v2");
+    CHECK(checker.streams().mixedStreams().size() == 3);
+    checker.checkAtEnd(at(0));
+    CHECK(firstViolation(checker) == "ORDER");
+  }
+}
+
+TEST_CASE("a stream of two software versions in one response counts") {
+  GuaranteeChecker checker{GuaranteeBounds()};
+  checker.onSent(call("a", CallKind::Stream, 0));
+  checker.onRun("a", "models", at(1), "v1");
+  checker.onRun("a", "models", at(5), "v2");
+  checker.onEvent("a", 1, "v1");
+  checker.onEvent("a", 2, "v2");
+  CHECK(checker.streams().mixedStreams() ==
+        std::vector<std::string>{
+            "stream a holds 1-1 of v1 (a at h) 2-2 of v2 (a at h)"});
+}
+
+TEST_CASE("an event that is missing or comes twice is a violation") {
+  for (const int next : {2, 3, 4}) {
+    GuaranteeChecker checker{GuaranteeBounds()};
+    checker.onSent(call("a", CallKind::Stream, 0));
+    checker.onRun("a", "models", at(1), "v1");
+    checker.onEvent("a", 1, "v1");
+    checker.onEvent("a", 2, "v1");
+    checker.onSent(resumingCall("b", "a", 10, 2));
+    checker.onRun("b", "models", at(11), "v1");
+    checker.onEvent("b", next, "v1");
+    checker.checkAtEnd(at(0));
+    CHECK((firstViolation(checker) == "ORDER") == (next != 3));
+  }
+}
+
+TEST_CASE("an event of a version that did not run the request is a violation") {
+  GuaranteeChecker checker{GuaranteeBounds()};
+  checker.onSent(call("a", CallKind::Stream, 0));
+  checker.onRun("a", "models", at(1), "v1");
+  checker.onEvent("a", 1, "v1");
+  CHECK(checker.violations().empty());
+  checker.onEvent("a", 2, "v3");
+  CHECK(firstViolation(checker) == "MIXED");
+}
+
+TEST_CASE("resumed streams must go on half as often as new ones begin") {
+  // Of these resumed streams this many go on; every new one begins.
+  const std::tuple<int, int, bool> cases[] = {
+      {11, 0, false}, {12, 6, false}, {12, 5, true}};
+  for (const auto &[count, goesOn, isViolated] : cases) {
+    GuaranteeChecker checker = checkerWithDisruptedUpstreams();
+    for (int i = 0; i < count; ++i)
+      resumeStream(&checker, std::to_string(i), "v1", i < goesOn);
+    const std::vector<std::string> violations = checker.streams().violations();
+    CHECK(violations.size() == (isViolated ? 1 : 0));
+    if (isViolated)
+      CHECK(violations[0].rfind("LOST: ", 0) == 0);
+  }
+}
+
+TEST_CASE("resumed streams count at connected hosts while two upstreams of "
+          "their version serve") {
+  for (const bool isDisrupted : {false, true}) {
+    GuaranteeChecker checker = checkerWithDisruptedUpstreams();
+    if (isDisrupted)
+      checker.disruptions().recordStart("store", at(15));
+    for (int i = 0; i < 20; ++i) {
+      const std::string id = std::to_string(i);
+      SentCall second = resumingCall(id + "+", id, 20, 2);
+      second.upstreamsOfVersion = isDisrupted ? 2 : 1;
+      checker.onSent(call(id, CallKind::Stream, 0));
+      checker.onRun(id, "models", at(1), "v1");
+      checker.onEvent(id, 1, "v1");
+      checker.onOutcome(id, outcome(0), at(10));
+      checker.onSent(second);
+      checker.onOutcome(second.id, outcome(503), at(30));
+    }
+    CHECK(checker.streams().violations().empty());
+  }
+}
+
+TEST_CASE("disruptions of other upstreams don't excuse that a response ends "
+          "because its upstream is silent") {
+  for (const bool isDisrupted : {false, true}) {
+    for (const int status : {0, 504}) {
+      for (const bool endsFirst : {false, true}) {
+        GuaranteeChecker checker = checkerWithDisruptedUpstreams();
+        if (isDisrupted)
+          checker.disruptions().recordStart("w1", at(500));
+        for (int i = 0; i < 4; ++i) {
+          const std::string id = std::to_string(i);
+          CHECK(checker.violations().empty());
+          checker.onSent(call(id, CallKind::AtMostOnceStream, 0));
+          checker.onRun(id, "models", at(10), "v1");
+          if (!endsFirst)
+            checker.onLeftInPause(id, "w1");
+          checker.onOutcome(id, outcome(status), at(1000));
+          if (endsFirst)
+            checker.onLeftInPause(id, "w1");
+        }
+        CHECK(firstViolation(checker) == (isDisrupted ? "" : "LOST"));
+      }
+    }
+  }
+}
--- a/soak/load_generator.cpp
+++ b/soak/load_generator.cpp
@@ -71,4 +71,18 @@
   return call;
 }
 
+SentCall LoadGenerator::resumingCall(SoakHost *host,
+                                     const StreamResumption &stream) {
+  SentCall call;
+  call.id = fmt::format("{:016x}", nextId_++);
+  call.kind = CallKind::Stream;
+  call.host = host->name;
+  call.sentAt = steadyNow();
+  call.deadline = stream.deadline;
+  call.resumedId = stream.streamId;
+  call.lastEventId = stream.lastEventId;
+  call.upstreamsOfVersion = cluster_->servingUpstreams(stream.version);
+  return call;
+}
+
 } // namespace auburnspring::soak
--- a/soak/load_generator.h
+++ b/soak/load_generator.h
@@ -2,6 +2,7 @@
 #define AUBURNSPRING_SOAK_LOAD_GENERATOR_H
 
 #include "soak/soak_cluster.h"
+#include "soak/stream_resumption.h"
 
 #include <asio/io_context.hpp>
 
@@ -33,6 +34,7 @@
 
   SoakHost *pickHost();
   SentCall nextCall(SoakHost *host);
+  SentCall resumingCall(SoakHost *host, const StreamResumption &stream);
 
   asio::io_context &io_;
   SoakCluster *cluster_;
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -26,6 +26,10 @@
 
 /// Time without faults before the first one.
 constexpr Duration WarmUp = std::chrono::seconds(3);
+/// Time until hosts count as connected again, and then the time in which
+/// streams break while they are.
+constexpr Duration SettlingTime = std::chrono::seconds(4);
+constexpr Duration StreamFaultTime = std::chrono::seconds(12);
 /// Time to recover after the last fault, and then the time in which the share
 /// of served requests is measured.
 constexpr Duration RecoveryTime = std::chrono::seconds(8);
@@ -34,6 +38,9 @@
 constexpr Duration CallDrainTime = std::chrono::seconds(5);
 /// One cause often violates a guarantee many times.
 constexpr std::size_t MaxPrintedViolations = 8;
+/// Long enough that most faults break streams midway.
+constexpr int EventsPerLongStream = 12;
+constexpr double DroppedStreamShare = 0.2;
 
 constexpr const char *UsageText =
     R"(auburnspring-soak - injects seeded faults into real processes
@@ -45,7 +52,7 @@
   -f, --faults SECONDS how long faults are injected (12)
   -n, --hosts N        serving hosts (3)
   -c, --callers N      callers (24)
-  -k, --fault-set N    kinds of faults up to set N (2); seeds that failed with
+  -k, --fault-set N    kinds of faults up to set N (3); seeds that failed with
                        an earlier set are run with that one
   -d, --dir DIR        settings and logs of the processes (a new directory)
   -h, --help           show this text
@@ -129,8 +136,17 @@
   std::filesystem::create_directories(options.directory);
   asio::io_context io(1);
   GuaranteeChecker checker{GuaranteeBounds()};
-  SoakCluster cluster(io, {options.program, options.directory, options.hosts},
-                      &checker);
+  ClusterOptions clusterOptions;
+  clusterOptions.program = options.program;
+  clusterOptions.directory = options.directory;
+  clusterOptions.hosts = options.hosts;
+  const bool hasVersions = options.faultSet >= FaultInjector::VersionsFaultSet;
+  if (hasVersions) {
+    clusterOptions.modelVersions = {"v1", "v1", "v2", "v2", "v1.1", "v1.1"};
+    clusterOptions.eventsPerStream = EventsPerLongStream;
+    clusterOptions.droppedStreamShare = DroppedStreamShare;
+  }
+  SoakCluster cluster(io, clusterOptions, &checker);
   cluster.startHosts();
   LoadGenerator generator(io, &cluster, &checker, options.seed,
                           options.callers);
@@ -138,7 +154,13 @@
   runFor(io, WarmUp);
   const Duration span = std::chrono::seconds(options.faultSeconds);
   faults.inject(span);
-  runFor(io, span + RecoveryTime);
+  runFor(io, span);
+  if (hasVersions) {
+    runFor(io, SettlingTime);
+    faults.injectStreamFaults(StreamFaultTime);
+    runFor(io, StreamFaultTime);
+  }
+  runFor(io, RecoveryTime);
   const TimePoint recoveredAt = steadyNow();
   runFor(io, MeasureTime);
   generator.stop();
@@ -148,11 +170,14 @@
   for (std::size_t i = 0; i < std::min(violations.size(), MaxPrintedViolations);
        ++i)
     fmt::print("broken seed={} {}\n", options.seed, violations[i]);
-  fmt::print("seed={} hosts={} sent={} served={} calm_share={:.3f} "
+  const std::vector<std::string> mixed = checker.streams().mixedStreams();
+  for (std::size_t i = 0; i < std::min(mixed.size(), MaxPrintedViolations); ++i)
+    fmt::print("trace seed={} {}\n", options.seed, mixed[i]);
+  fmt::print("seed={} hosts={} sent={} served={} calm_share={:.3f} {} "
              "broken={} dir={}\n",
              options.seed, options.hosts, checker.sentCount(),
-             checker.servedCount(), checker.recoveredShare(), violations.size(),
-             options.directory);
+             checker.servedCount(), checker.recoveredShare(),
+             checker.streams().summary(), violations.size(), options.directory);
   return violations.empty() ? ExitOk : ExitViolation;
 }
 
--- a/soak/soak_caller.cpp
+++ b/soak/soak_caller.cpp
@@ -2,11 +2,13 @@
 
 #include "auburnspring/base/clock.h"
 #include "platform/names.h"
-#include "platform/testing/fake_upstream_server.h"
 
+#include <absl/strings/numbers.h>
 #include <asio/write.hpp>
 #include <fmt/format.h>
 
+#include <algorithm>
+
 namespace auburnspring::soak {
 
 namespace {
@@ -22,6 +24,15 @@
 /// Share of requests whose caller disconnects early, and when.
 constexpr double AbandonShare = 0.03;
 constexpr Duration AbandonAfter = std::chrono::milliseconds(30);
+/// Requests that resume a stream at most, and the time that it must have left.
+constexpr int MaxResumptions = 2;
+constexpr Duration MinResumeTime = std::chrono::milliseconds(500);
+/// Part of the time left that a caller waits at most when asked to.
+constexpr int MaxDelayDivisor = 3;
+
+bool isStream(CallKind kind) {
+  return kind == CallKind::Stream || kind == CallKind::AtMostOnceStream;
+}
 
 const char *pathOf(CallKind kind) {
   switch (kind) {
@@ -44,7 +55,8 @@
 
 void SoakCaller::scheduleNext() {
   std::uniform_int_distribution<std::int64_t> pause(0, MaxThinkTime.count());
-  timer_.expires_after(Duration(pause(generator_->random_)));
+  timer_.expires_after(resumption_ ? resumption_->delay
+                                   : Duration(pause(generator_->random_)));
   timer_.async_wait([self = shared_from_this()](asio::error_code error) {
     if (error || self->generator_->isStopped())
       return;
@@ -90,8 +102,15 @@
 }
 
 void SoakCaller::send() {
-  call_ = generator_->nextCall(host_);
+  if (resumption_ && resumption_->deadline < steadyNow() + MinResumeTime)
+    resumption_.reset();
+  call_ = resumption_ ? generator_->resumingCall(host_, *resumption_)
+                      : generator_->nextCall(host_);
   call_->incarnation = incarnation_;
+  events_.reset();
+  if (isStream(call_->kind))
+    events_.emplace(call_->id, call_->lastEventId);
+  drawDrop();
   body_.clear();
   messageEnded_ = false;
   reader_ = std::make_unique<http::MessageReader>(
@@ -117,6 +136,27 @@
                     });
 }
 
+void SoakCaller::drawDrop() {
+  dropAfterEvent_ = 0;
+  const ClusterOptions &options = generator_->cluster_->options();
+  const int first = call_->lastEventId + 1;
+  if (options.droppedStreamShare == 0 || call_->kind != CallKind::Stream ||
+      first >= options.eventsPerStream)
+    return;
+  std::bernoulli_distribution drops(options.droppedStreamShare);
+  std::uniform_int_distribution<int> any(first, options.eventsPerStream - 1);
+  if (drops(generator_->random_))
+    dropAfterEvent_ = any(generator_->random_);
+}
+
+void SoakCaller::dropConnection() {
+  close();
+  CallOutcome outcome;
+  outcome.isAbandoned = true;
+  finishCall(outcome);
+  scheduleNext();
+}
+
 std::string SoakCaller::encodeRequest() const {
   const std::string versionPath = fmt::format("/v/{}/x", call_->version);
   http::RequestHead head{
@@ -134,6 +174,10 @@
     head.headers.add(names::StagePieces, "2,3");
     head.headers.add(names::PieceKey, call_->id);
   }
+  if (!call_->resumedId.empty()) {
+    head.headers.add(names::LastEventId, std::to_string(call_->lastEventId));
+    head.headers.add(names::ResumedRequestId, call_->resumedId);
+  }
   head.headers.add("Content-Length", "4");
   return http::encodeHead(head) + "body";
 }
@@ -168,8 +212,11 @@
       return onClosed();
     }
     bytes.remove_prefix(*consumed);
+    readEvents();
     if (messageEnded_)
       onMessage();
+    else if (dropAfterEvent_ > 0 && events_->lastEventId() >= dropAfterEvent_)
+      return dropConnection();
   }
 }
 
@@ -178,10 +225,18 @@
   if (call_->kind == CallKind::AtMostOnce || call_->kind == CallKind::Retryable)
     return body_.rfind("answer of ", 0) == 0 && body_.size() > suffix.size() &&
            body_.substr(body_.size() - suffix.size()) == suffix;
-  std::string expected;
-  for (int i = 1; i <= platform::FakeUpstreamServer::EventsPerStream; ++i)
-    expected += fmt::format("id: {}\ndata: piece {}{}\n\n", i, i, suffix);
-  return body_ == expected;
+  return events_->isWhole(body_,
+                          generator_->cluster_->options().eventsPerStream);
+}
+
+void SoakCaller::readEvents() {
+  if (!events_ || !reader_->hasHead() || reader_->status() != 200)
+    return;
+  events_->read(body_, [this](int number, std::string_view version) {
+    generator_->checker_->onEvent(call_->id, number, version);
+    if (number == 1)
+      firstVersion_ = version;
+  });
 }
 
 void SoakCaller::onMessage() {
@@ -192,7 +247,7 @@
   outcome.isSigned = reader_->headers().find(names::Signature) != nullptr;
   const bool keepAlive = reader_->shouldKeepAlive();
   finishCall(outcome);
-  if (!keepAlive)
+  if (!keepAlive || resumption_)
     close();
   scheduleNext();
 }
@@ -221,6 +276,34 @@
   timer_.cancel();
   const SentCall call = *std::exchange(call_, std::nullopt);
   generator_->checker_->onOutcome(call.id, outcome, steadyNow());
+  updateResumption(call, outcome);
+}
+
+void SoakCaller::updateResumption(const SentCall &call,
+                                  const CallOutcome &outcome) {
+  const int tries = resumption_ ? resumption_->tries + 1 : 0;
+  const bool mayRetry = !outcome.isComplete || outcome.status >= 500 ||
+                        outcome.status == 429 || outcome.status == 408;
+  const bool isBroken = call.kind == CallKind::Stream &&
+                        (!outcome.isAbandoned || dropAfterEvent_ > 0) &&
+                        mayRetry && events_->lastEventId() > 0;
+  if (!isBroken || tries >= MaxResumptions)
+    return resumption_.reset();
+  resumption_ = StreamResumption{
+      call.streamId(),        firstVersion_,
+      events_->lastEventId(), tries,
+      call.deadline,          requestedDelay(call.deadline - steadyNow())};
+}
+
+Duration SoakCaller::requestedDelay(Duration left) const {
+  const std::string *retryAfter =
+      reader_->hasHead() ? reader_->headers().find(names::RetryAfter) : nullptr;
+  double seconds = 0;
+  if (retryAfter == nullptr || !absl::SimpleAtod(*retryAfter, &seconds))
+    return Duration(0);
+  const Duration asked(static_cast<std::int64_t>(seconds * 1e6));
+  return std::clamp(asked, Duration(0),
+                    std::max(left, Duration(0)) / MaxDelayDivisor);
 }
 
 } // namespace auburnspring::soak
--- a/soak/soak_caller.h
+++ b/soak/soak_caller.h
@@ -2,6 +2,7 @@
 #define AUBURNSPRING_SOAK_SOAK_CALLER_H
 
 #include "soak/load_generator.h"
+#include "soak/stream_body.h"
 
 #include "auburnspring/http/message_reader.h"
 
@@ -31,7 +32,15 @@
   void onClosed();
   void cancelCall();
   void finishCall(CallOutcome outcome);
+  /// Draws whether the caller loses its connection in this stream.
+  void drawDrop();
+  void dropConnection();
   bool bodyMatchesRequest() const;
+  void readEvents();
+  /// Decides whether the stream of a call that has ended is taken up again.
+  void updateResumption(const SentCall &call, const CallOutcome &outcome);
+  /// The wait that the last response asked for, within the time left.
+  Duration requestedDelay(Duration left) const;
   std::string encodeRequest() const;
 
   LoadGenerator *generator_;
@@ -44,6 +53,14 @@
   std::optional<SentCall> call_;
   std::string outgoing_;
   std::string body_;
+  /// Events of the stream in flight, if any.
+  std::optional<StreamBody> events_;
+  /// Version of the first event of the stream that is read or resumed.
+  std::string firstVersion_;
+  /// The event after which the caller loses its connection; 0 for none.
+  int dropAfterEvent_ = 0;
+  /// The broken stream that the next request resumes.
+  std::optional<StreamResumption> resumption_;
   bool messageEnded_ = false;
   std::array<char, 16 << 10> buffer_{};
   /// Distinguishes callbacks of earlier connections from those of this one.
--- a/soak/soak_cluster.cpp
+++ b/soak/soak_cluster.cpp
@@ -7,6 +7,7 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <csignal>
 #include <fstream>
 
@@ -27,6 +28,9 @@
 constexpr Duration RestartDelay = std::chrono::milliseconds(600);
 /// How long a draining upstream still serves.
 constexpr Duration DrainTime = std::chrono::milliseconds(3500);
+/// From an upstream's crash until its entry is gone and another one starts.
+constexpr Duration CrashedTime = std::chrono::milliseconds(1000);
+const std::string FirstVersion = "v1";
 
 json route(const char *name, const char *prefix, const char *kind,
            const char *service, bool isResumable) {
@@ -78,9 +82,12 @@
                value.substr(value.find(' '));
     return value;
   };
-  for (const char *service :
-       {"jobs", "jobs", "jobs", "models", "models", "models", "stock", "stock"})
-    addUpstream(service);
+  for (int i = 0; i < 3; ++i)
+    addUpstream("jobs", FirstVersion);
+  for (const std::string &version : options_.modelVersions)
+    addUpstream("models", version);
+  for (int i = 0; i < 2; ++i)
+    addUpstream("stock", FirstVersion);
   publishConfiguration();
   tick();
 }
@@ -192,7 +199,8 @@
   checker_->onConfiguration(version, steadyNow());
 }
 
-void SoakCluster::addUpstream(const std::string &service) {
+void SoakCluster::addUpstream(const std::string &service,
+                              const std::string &version) {
   auto upstream = std::make_unique<SoakUpstream>();
   const std::string id = fmt::format("w{}", nextUpstream_++);
   upstream->service = service;
@@ -202,7 +210,9 @@
   server->advertise(upstream->link->endpoint());
   server->processingTime = std::chrono::milliseconds(15);
   server->eventGap = std::chrono::milliseconds(40);
-  server->echoesRequestId = true;
+  server->echoesRequestId = server->showsVersion = true;
+  server->softwareVersion = version;
+  server->eventsPerStream = options_.eventsPerStream;
   server->onArrival = [this, service, id](const std::string &request) {
     checker_->onArrival(request, service, id, steadyNow());
   };
@@ -212,8 +222,11 @@
   server->onRefused = [this, id, server](const std::string &request) {
     checker_->onHostRefused(request, id, server->retryAfter, steadyNow());
   };
-  server->onRun = [this, service](const std::string &request) {
-    checker_->onRun(request, service, steadyNow());
+  server->onRun = [this, service, server](const std::string &request) {
+    checker_->onRun(request, service, steadyNow(), server->softwareVersion);
+  };
+  server->onLeftInPause = [this, id](const std::string &request) {
+    checker_->onLeftInPause(request, id);
   };
   upstreams_.push_back(std::move(upstream));
   listUpstream(upstreams_.back().get());
@@ -252,16 +265,50 @@
   store_.put(names::UpstreamPrefix + id,
              upstream->server->entry(upstream->service, "a", upstream->state));
   checker_->onUpstreamDraining(id, steadyNow());
-  const auto timer = std::make_shared<asio::steady_timer>(io_, DrainTime);
-  timer->async_wait([this, timer, upstream, id](asio::error_code error) {
-    if (error)
-      return;
+  runAfter(DrainTime, [this, upstream, id] {
     upstream->state.clear();
     store_.remove(names::UpstreamPrefix + id);
+    checker_->disruptions().recordStart(id, steadyNow());
     upstream->link->setState(LinkState::Reset);
   });
 }
 
+void SoakCluster::crashUpstream(SoakUpstream *upstream) {
+  const std::string id = upstream->server->id();
+  upstream->isListed = false;
+  checker_->disruptions().recordStart(id, steadyNow());
+  checker_->disruptions().recordStart("workers", steadyNow());
+  upstream->link->setState(LinkState::Reset);
+  runAfter(CrashedTime, [this, upstream, id] {
+    upstream->state.clear();
+    store_.remove(names::UpstreamPrefix + id);
+    checker_->disruptions().recordEnd("workers", steadyNow());
+    addUpstream(upstream->service, upstream->server->softwareVersion);
+  });
+}
+
+std::size_t SoakCluster::servingUpstreams(std::string_view version) const {
+  using FaultMode = platform::FakeUpstreamServer::FaultMode;
+  return static_cast<std::size_t>(std::count_if(
+      upstreams_.begin(), upstreams_.end(), [&](const auto &upstream) {
+        const FaultMode faultMode = upstream->server->faultMode;
+        return upstream->service == "models" && upstream->isListed &&
+               upstream->server->softwareVersion == version &&
+               upstream->link->state() == LinkState::Open &&
+               (faultMode == FaultMode::NoFault ||
+                faultMode == FaultMode::PausesStream);
+      }));
+}
+
+void SoakCluster::runAfter(Duration span, std::function<void()> action) {
+  const auto timer = std::make_shared<asio::steady_timer>(io_, span);
+  timer->async_wait(
+      [timer, action = std::move(action)](asio::error_code error) {
+        if (!error)
+          action();
+      });
+}
+
 void SoakCluster::tick() {
   const TimePoint now = steadyNow();
   for (const auto &host : hosts_)
--- a/soak/soak_cluster.h
+++ b/soak/soak_cluster.h
@@ -10,10 +10,12 @@
 
 #include <asio/steady_timer.hpp>
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <random>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace auburnspring::soak {
@@ -23,6 +25,11 @@
   /// Where settings and logs of the processes are written.
   std::string directory;
   std::size_t hosts = 3;
+  /// Software versions of the model upstreams.
+  std::vector<std::string> modelVersions = {"v1", "v1", "v1"};
+  int eventsPerStream = platform::FakeUpstreamServer::EventsPerStream;
+  /// Share of resumable streams whose caller loses its connection midway.
+  double droppedStreamShare = 0;
 };
 
 /// A fake upstream with the proxy in front of it.
@@ -53,7 +60,10 @@
   void resumeHost(SoakHost *host);
 
   void publishConfiguration();
-  void addUpstream(const std::string &service);
+  void addUpstream(const std::string &service, const std::string &version);
+  /// Its connections are reset; its entry goes some time later, when another
+  /// upstream of its version starts.
+  void crashUpstream(SoakUpstream *upstream);
   /// The upstream announces that it drains, serves for a while, and then resets
   /// all connections.
   void drainUpstream(SoakUpstream *upstream);
@@ -70,8 +80,12 @@
   /// Newest version of the configuration, which adds the route /v/VERSION/.
   std::int64_t version() const { return version_; }
   std::int64_t previousVersion() const { return previousVersion_; }
+  const ClusterOptions &options() const { return options_; }
+  /// Number of model upstreams of the software version that serve.
+  std::size_t servingUpstreams(std::string_view version) const;
 
 private:
+  void runAfter(Duration span, std::function<void()> action);
   void writeSettings(SoakHost *host, std::uint16_t metricsPort);
   void tick();
   void superviseProcess(SoakHost *host, TimePoint now);
