Soak: streams on a route with one attempt; a stream lost in a silence is a violation

Cause: streams of set 3 could nearly always go on at another upstream in the same response, so an upstream's silence cost a host nothing. What callers saw: nothing; only the soak changes. Change: half of the resumable streams of set 3 are for a route with one attempt; the time of stream faults has more silences. A response that a connected host ends because its only upstream is silent breaks LOST at the first, and each lost request is a trace line.

--- a/soak/fault_injector.cpp
+++ b/soak/fault_injector.cpp
@@ -14,6 +14,7 @@
 using StoreFaultMode = platform::FakeStoreServer::StoreFaultMode;
 
 constexpr Duration MaxFaultGap = std::chrono::milliseconds(900);
+constexpr Duration MaxStreamFaultGap = std::chrono::milliseconds(500);
 constexpr Duration MinFaultTime = std::chrono::milliseconds(100);
 constexpr Duration MaxFaultTime = std::chrono::milliseconds(4000);
 constexpr Duration BurstInterval = std::chrono::milliseconds(200);
@@ -23,6 +24,7 @@
 constexpr Duration RewriteDelay = std::chrono::milliseconds(700);
 /// Share of the upstreams that a fault affects at the same time.
 constexpr double FaultyUpstreamShare = 0.4;
+constexpr double SilentUpstreamShare = 0.5;
 /// How long a sound upstream falls silent.
 constexpr Duration MinSilence = std::chrono::milliseconds(800);
 constexpr Duration MaxSilence = std::chrono::milliseconds(1500);
@@ -33,7 +35,7 @@
                              GuaranteeChecker *checker, std::uint64_t seed,
                              int faultSet)
     : io_(io), cluster_(cluster), checker_(checker), random_(seed),
-      kinds_(kindsOf(faultSet)) {}
+      kinds_(kindsOf(faultSet)), maxGap_(MaxFaultGap) {}
 
 std::vector<FaultInjector::Kind> FaultInjector::kindsOf(int faultSet) {
   using Self = FaultInjector;
@@ -90,7 +92,9 @@
 
 void FaultInjector::injectStreamFaults(Duration span) {
   using Self = FaultInjector;
+  maxGap_ = MaxStreamFaultGap;
   kinds_ = {{"workers_fall_silent", &Self::upstreamsFallSilent},
+            {"workers_fall_silent", &Self::upstreamsFallSilent},
             {"release_worker", &Self::releaseUpstream},
             {"crash_worker", &Self::crashUpstream},
             {"reset_callers", &Self::resetCallersOfFirstHost}};
@@ -98,7 +102,7 @@
 }
 
 void FaultInjector::scheduleNext(TimePoint until) {
-  std::uniform_int_distribution<std::int64_t> gap(0, MaxFaultGap.count());
+  std::uniform_int_distribution<std::int64_t> gap(0, maxGap_.count());
   runAfter(Duration(gap(random_)), [this, until] {
     const Duration left = until - steadyNow();
     if (left < MinFaultTime)
@@ -349,7 +353,7 @@
                                                       MaxSilence.count());
   std::uniform_int_distribution<int> event(1,
                                            cluster_->options().eventsPerStream);
-  std::bernoulli_distribution isSilent(FaultyUpstreamShare);
+  std::bernoulli_distribution isSilent(SilentUpstreamShare);
   std::vector<platform::FakeUpstreamServer *> silent;
   for (const auto &upstream : cluster_->upstreams()) {
     platform::FakeUpstreamServer *server = upstream->server.get();
--- a/soak/fault_injector.h
+++ b/soak/fault_injector.h
@@ -98,6 +98,7 @@
   GuaranteeChecker *checker_;
   std::mt19937_64 random_;
   std::vector<Kind> kinds_;
+  Duration maxGap_;
 };
 
 } // namespace auburnspring::soak
--- a/soak/guarantee_checker.cpp
+++ b/soak/guarantee_checker.cpp
@@ -283,15 +283,19 @@
       (wasOnlySilent || disruptions_.isUndisrupted("workers", from, at));
   const bool wasAccepted =
       call.runs > 0 || at > sent.sentAt + bounds_.acceptSlack;
-  if (!isUndisrupted || !wasAccepted || at >= sent.deadline || call.isLost)
+  if (!isUndisrupted || !wasAccepted || at >= sent.deadline ||
+      (call.isLost && !wasOnlySilent))
     return;
   lost->isLost = true;
   const std::string text =
       fmt::format("{} at {} had no complete response after {} ms, {} runs{}",
                   sent.id, sent.host, toMillis(at - sent.sentAt), call.runs,
                   wasOnlySilent ? ", its upstream silent" : "");
+  lost_.push_back("lost " + text);
   if (!disruptions_.isUndisrupted(stopSubject(sent.host), sent.sentAt, at))
     return reportViolation("LOST", text + ", during a planned stop");
+  if (wasOnlySilent)
+    return reportViolation("LOST", text);
   if (++lostUndisrupted_ > LostLimit)
     reportViolation("LOST", text);
 }
--- a/soak/guarantee_checker.h
+++ b/soak/guarantee_checker.h
@@ -90,6 +90,8 @@
   const std::vector<std::string> &violations() const { return violations_; }
   std::size_t sentCount() const { return calls_.size(); }
   std::size_t servedCount() const { return served_; }
+  /// One line for each request that counts as lost, within the limit or beyond.
+  const std::vector<std::string> &lostRequests() const { return lost_; }
   const StreamChecker &streams() const { return streams_; }
   /// Share of the requests sent after `recoveredAt` that were served.
   double recoveredShare() const { return recoveredShare_; }
@@ -160,6 +162,7 @@
   std::size_t reachedDeadline_ = 0;
   std::size_t overdue_ = 0;
   std::size_t lostUndisrupted_ = 0;
+  std::vector<std::string> lost_;
   double recoveredShare_ = 1;
 };
 
--- a/soak/guarantee_checker_test.cpp
+++ b/soak/guarantee_checker_test.cpp
@@ -326,19 +326,29 @@
         GuaranteeChecker checker = checkerWithDisruptedUpstreams();
         if (isDisrupted)
           checker.disruptions().recordStart("w1", at(500));
-        for (int i = 0; i < 4; ++i) {
-          const std::string id = std::to_string(i);
-          CHECK(checker.violations().empty());
-          checker.onSent(call(id, CallKind::AtMostOnceStream, 0));
-          checker.onRun(id, "models", at(10), "v1");
-          if (!endsFirst)
-            checker.onLeftInPause(id, "w1");
-          checker.onOutcome(id, outcome(status), at(1000));
-          if (endsFirst)
-            checker.onLeftInPause(id, "w1");
-        }
+        checker.onSent(call("a", CallKind::AtMostOnceStream, 0));
+        checker.onRun("a", "models", at(10), "v1");
+        if (!endsFirst)
+          checker.onLeftInPause("a", "w1");
+        CHECK(checker.violations().empty());
+        checker.onOutcome("a", outcome(status), at(1000));
+        if (endsFirst)
+          checker.onLeftInPause("a", "w1");
         CHECK(firstViolation(checker) == (isDisrupted ? "" : "LOST"));
       }
     }
   }
 }
+
+TEST_CASE("a stream that went on elsewhere isn't lost by a silence") {
+  for (const bool isServed : {false, true}) {
+    GuaranteeChecker checker = checkerWithDisruptedUpstreams();
+    checker.onSent(call("a", CallKind::Stream, 0));
+    checker.onRun("a", "models", at(10), "v1");
+    if (!isServed)
+      checker.onRun("a", "models", at(20), "v1");
+    checker.onLeftInPause("a", "w1");
+    checker.onOutcome("a", outcome(isServed ? 200 : 0), at(1000));
+    CHECK(checker.violations().empty());
+  }
+}
--- a/soak/load_generator.cpp
+++ b/soak/load_generator.cpp
@@ -64,6 +64,9 @@
       std::uniform_int_distribution<std::size_t>(0, 9)(random_);
   if (drawn < std::size(Kinds)) {
     call.kind = Kinds[drawn];
+    const double singleShare = cluster_->options().singleAttemptShare;
+    if (call.kind == CallKind::Stream && singleShare > 0)
+      call.isSingleAttempt = std::bernoulli_distribution(singleShare)(random_);
     return call;
   }
   call.kind = CallKind::Retryable;
@@ -79,6 +82,7 @@
   call.host = host->name;
   call.sentAt = steadyNow();
   call.deadline = stream.deadline;
+  call.isSingleAttempt = stream.isSingleAttempt;
   call.resumedId = stream.streamId;
   call.lastEventId = stream.lastEventId;
   call.upstreamsOfVersion = cluster_->servingUpstreams(stream.version);
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -40,7 +40,9 @@
 constexpr std::size_t MaxPrintedViolations = 8;
 /// Long enough that most faults break streams midway.
 constexpr int EventsPerLongStream = 12;
+constexpr int ShortGapAimMs = 200;
 constexpr double DroppedStreamShare = 0.2;
+constexpr double SingleAttemptShare = 0.5;
 
 constexpr const char *UsageText =
     R"(auburnspring-soak - injects seeded faults into real processes
@@ -144,7 +146,9 @@
   if (hasVersions) {
     clusterOptions.modelVersions = {"v1", "v1", "v2", "v2", "v1.1", "v1.1"};
     clusterOptions.eventsPerStream = EventsPerLongStream;
+    clusterOptions.streamGapAimMs = ShortGapAimMs;
     clusterOptions.droppedStreamShare = DroppedStreamShare;
+    clusterOptions.singleAttemptShare = SingleAttemptShare;
   }
   SoakCluster cluster(io, clusterOptions, &checker);
   cluster.startHosts();
@@ -171,8 +175,10 @@
        ++i)
     fmt::print("broken seed={} {}\n", options.seed, violations[i]);
   const std::vector<std::string> mixed = checker.streams().mixedStreams();
-  for (std::size_t i = 0; i < std::min(mixed.size(), MaxPrintedViolations); ++i)
-    fmt::print("trace seed={} {}\n", options.seed, mixed[i]);
+  for (const std::vector<std::string> &lines : {mixed, checker.lostRequests()})
+    for (std::size_t i = 0; i < std::min(lines.size(), MaxPrintedViolations);
+         ++i)
+      fmt::print("trace seed={} {}\n", options.seed, lines[i]);
   fmt::print("seed={} hosts={} sent={} served={} calm_share={:.3f} {} "
              "broken={} dir={}\n",
              options.seed, options.hosts, checker.sentCount(),
--- a/soak/sent_call.h
+++ b/soak/sent_call.h
@@ -22,6 +22,8 @@
   /// version has.
   std::int64_t version = 0;
   TimePoint sentAt;
+  /// Its host may try one upstream only.
+  bool isSingleAttempt = false;
   /// When it must have a final response.
   TimePoint deadline;
 
--- a/soak/soak_caller.cpp
+++ b/soak/soak_caller.cpp
@@ -34,14 +34,14 @@
   return kind == CallKind::Stream || kind == CallKind::AtMostOnceStream;
 }
 
-const char *pathOf(CallKind kind) {
-  switch (kind) {
+const char *pathOf(const SentCall &call) {
+  switch (call.kind) {
   case CallKind::AtMostOnce:
     return "/book/x";
   case CallKind::Retryable:
     return "/look/x";
   case CallKind::Stream:
-    return "/stream/draft/x";
+    return call.isSingleAttempt ? "/stream/single/x" : "/stream/draft/x";
   case CallKind::AtMostOnceStream:
     return "/stream/query/x";
   }
@@ -160,7 +160,7 @@
 std::string SoakCaller::encodeRequest() const {
   const std::string versionPath = fmt::format("/v/{}/x", call_->version);
   http::RequestHead head{
-      "POST", call_->version > 0 ? versionPath : pathOf(call_->kind), {}};
+      "POST", call_->version > 0 ? versionPath : pathOf(*call_), {}};
   head.headers.add("Host", "shop");
   head.headers.add(names::RequestId, call_->id);
   head.headers.add(
@@ -289,10 +289,13 @@
                         mayRetry && events_->lastEventId() > 0;
   if (!isBroken || tries >= MaxResumptions)
     return resumption_.reset();
-  resumption_ = StreamResumption{
-      call.streamId(),        firstVersion_,
-      events_->lastEventId(), tries,
-      call.deadline,          requestedDelay(call.deadline - steadyNow())};
+  resumption_ = StreamResumption{call.streamId(),
+                                 firstVersion_,
+                                 call.isSingleAttempt,
+                                 events_->lastEventId(),
+                                 tries,
+                                 call.deadline,
+                                 requestedDelay(call.deadline - steadyNow())};
 }
 
 Duration SoakCaller::requestedDelay(Duration left) const {
--- a/soak/soak_cluster.cpp
+++ b/soak/soak_cluster.cpp
@@ -169,6 +169,11 @@
   draft["Stages"] = json::array(
       {{{"Service", "stock"}, {"After", json::array()}, {"Bytes", 1000}},
        {{"Service", "stock"}, {"After", {0}}, {"Bytes", 10}}});
+  draft["GapAimMs"] = options_.streamGapAimMs;
+  json single = draft;
+  single["Name"] = "single";
+  single["PathPrefix"] = "/stream/single/";
+  single["MaxAttempts"] = 1;
   const std::string versionPath = fmt::format("/v/{}/", version);
   const json config = {
       {"Version", version},
@@ -176,7 +181,7 @@
        {route("book", "/book/", "unsafe", "jobs", false),
         route("look", "/look/", "safe", "jobs", false),
         route("query", "/stream/query/", "streaming", "models", false), draft,
-        route("own", versionPath.c_str(), "safe", "jobs", false)}},
+        single, route("own", versionPath.c_str(), "safe", "jobs", false)}},
       {"Services",
        {{{"Name", "jobs"}},
         {{"Name", "models"},
--- a/soak/soak_cluster.h
+++ b/soak/soak_cluster.h
@@ -28,8 +28,13 @@
   /// Software versions of the model upstreams.
   std::vector<std::string> modelVersions = {"v1", "v1", "v1"};
   int eventsPerStream = platform::FakeUpstreamServer::EventsPerStream;
+  /// Pause between events that the routes of resumable streams allow.
+  int streamGapAimMs = 300;
   /// Share of resumable streams whose caller loses its connection midway.
   double droppedStreamShare = 0;
+  /// Share of resumable streams for the route whose hosts may try one upstream
+  /// only.
+  double singleAttemptShare = 0;
 };
 
 /// A fake upstream with the proxy in front of it.
--- a/soak/stream_resumption.h
+++ b/soak/stream_resumption.h
@@ -12,6 +12,7 @@
   /// The request that brought its first event, and that event's version.
   std::string streamId;
   std::string version;
+  bool isSingleAttempt = false;
   int lastEventId = 0;
   /// Requests that resumed it already.
   int tries = 0;
