--- a/soak/soak_cluster.cpp
+++ b/soak/soak_cluster.cpp
@@ -30,7 +30,7 @@
 constexpr Duration DrainTime = std::chrono::milliseconds(3500);
 /// From an upstream's crash until its entry is gone and another one starts.
 constexpr Duration CrashedTime = std::chrono::milliseconds(1000);
-const std::string FirstVersion = "v1";
+constexpr const char *FirstVersion = "v1";
 
 json route(const char *name, const char *prefix, const char *kind,
            const char *service, bool isResumable) {
--- a/soak/soak_cluster.h
+++ b/soak/soak_cluster.h
@@ -66,8 +66,8 @@
 
   void publishConfiguration();
   void addUpstream(const std::string &service, const std::string &version);
-  /// Its connections are reset; its entry goes some time later, when another
-  /// upstream of its version starts.
+  /// Records a disruption. Its connections are reset; its entry goes some time
+  /// later, when another upstream of its version starts.
   void crashUpstream(SoakUpstream *upstream);
   /// The upstream announces that it drains, serves for a while, and then resets
   /// all connections.
