Entries of the host list may carry a software version

Cause: upstreams of several versions serve in one pool, and a host could not tell them apart. What callers saw: nothing; no choice depends on the version yet. Evidence: a case in store_test (read, absent, not a string) and one in upstream_directory_test.

--- a/include/auburnspring/decision/upstream_facts.h
+++ b/include/auburnspring/decision/upstream_facts.h
@@ -17,6 +17,8 @@
   Endpoint endpoint;
   /// Differs between two incarnations of an upstream at one address.
   std::string incarnation;
+  /// Version of the software that it runs; "" is a version of its own.
+  std::string version;
   bool leaving = false;
   /// Requests that it runs concurrently.
   std::int64_t slots = 1;
--- a/src/auburnspring/decision/upstream_directory.cpp
+++ b/src/auburnspring/decision/upstream_directory.cpp
@@ -45,6 +45,7 @@
     const bool sameIncarnation =
         known != upstreams_.end() &&
         known->second->listed.incarnation == upstream.incarnation &&
+        known->second->listed.version == upstream.version &&
         toString(known->second->listed.endpoint) ==
             toString(upstream.endpoint) &&
         known->second->listed.slots == upstream.slots &&
@@ -180,6 +181,7 @@
          {"pool", tracked->listed.pool},
          {"address", toString(tracked->listed.endpoint)},
          {"incarnation", tracked->listed.incarnation},
+         {"version", tracked->listed.version},
          {"leaving", tracked->leaving.load()},
          {"drained", tracked->drained.load()},
          {"in_flight", tracked->inFlight.load()},
--- a/src/auburnspring/decision/upstream_directory_test.cpp
+++ b/src/auburnspring/decision/upstream_directory_test.cpp
@@ -94,3 +94,20 @@
   Step next = stepAt(std::chrono::seconds(42));
   CHECK_FALSE(directory.onHostList(listOf(4, 3), &next));
 }
+
+TEST_CASE("an upstream that is listed with another version is replaced") {
+  UpstreamDirectory directory({});
+  Step first = stepAt(Duration(0));
+  HostList list = listOf(2, 1);
+  list.upstreams.front().version = "1";
+  REQUIRE(directory.onHostList(list, &first));
+  list.version = 2;
+  list.upstreams.front().version = "2";
+  Step second = stepAt(std::chrono::seconds(1));
+  REQUIRE(directory.onHostList(list, &second));
+  const auto pools = directory.buildPools(hostNames(1), "entry-0");
+  CHECK(pools.at("engines")->upstreams.front()->listed.version == "2");
+  list.version = 3;
+  Step third = stepAt(std::chrono::seconds(2));
+  CHECK_FALSE(directory.onHostList(list, &third));
+}
--- a/src/auburnspring/store/host_list_client.cpp
+++ b/src/auburnspring/store/host_list_client.cpp
@@ -18,6 +18,7 @@
   upstream.pool = json.at("pool").get<std::string>();
   upstream.dataCentre = json.value("data_centre", "");
   upstream.incarnation = json.value("incarnation", "");
+  upstream.version = json.value("version", "");
   upstream.leaving = json.value("state", "live") == "leaving";
   upstream.slots = json.value("slots", 1);
   upstream.models = json.value("models", std::vector<std::string>());
--- a/src/auburnspring/store/store_test.cpp
+++ b/src/auburnspring/store/store_test.cpp
@@ -121,6 +121,19 @@
   REQUIRE(list.ok());
   CHECK(list->upstreams.front().leaving);
   CHECK(list->upstreams.front().slots == 4);
+  CHECK(list->upstreams.front().version.empty());
   CHECK_FALSE(parseHostList("{}").ok());
   CHECK_FALSE(parseHostList("").ok());
 }
+
+TEST_CASE("an entry of the host list may carry a software version") {
+  const auto list =
+      parseHostList(R"({"version":3,"hosts":[{"name":"e1","pool":"engines",)"
+                    R"("address":"127.0.0.1:9","version":"2.1"}]})");
+  REQUIRE(list.ok());
+  CHECK(list->upstreams.front().version == "2.1");
+  CHECK_FALSE(
+      parseHostList(R"({"version":3,"hosts":[{"name":"e1","pool":"engines",)"
+                    R"("address":"127.0.0.1:9","version":2}]})")
+          .ok());
+}
