Known red: generations that two software versions write

Cause: RequestRun continues a generation after the text received at any upstream of the pool, whatever its software version. What callers saw: complete responses and streams whose first part is by one version and whose rest is by another.

--- a/include/auburnspring/model/fake_upstream.h
+++ b/include/auburnspring/model/fake_upstream.h
@@ -17,10 +17,11 @@
 namespace auburnspring {
 
 /// The result of an attempt as a pure function of its inputs, so that complete
-/// responses can be checked byte for byte.
+/// responses can be checked byte for byte. What two versions of an engine
+/// generate from the same inputs differs from the first token on.
 std::string stageResult(StageKind kind, const std::string &input,
                         const std::string &context, std::uint32_t part,
-                        std::int64_t maxTokens);
+                        std::int64_t maxTokens, const std::string &version);
 
 /// The key under which executions are counted. A caller's key is scoped to its
 /// organisation and route.
@@ -36,6 +37,8 @@
     std::string pool;
     std::string dataCentre;
     StageKind kind = StageKind::Call;
+    /// Software version, as listed.
+    std::string version;
     std::int64_t slots = 8;
     std::size_t maxQueued = 64;
     /// Mean duration of an attempt, except for generation.
@@ -120,6 +123,7 @@
   void scheduleStream(const JobPtr &job);
   void fail(const JobPtr &job, FailureKind kind, const char *detail);
   void execute(const Job &job);
+  std::string resultOf(const StartAttempt &attempt) const;
   Duration drawDuration(Job *job);
   bool touchPrefixCache(const std::string &prompt);
   Usage usageOf(const Job &job) const;
--- a/include/auburnspring/model/simulation.h
+++ b/include/auburnspring/model/simulation.h
@@ -108,13 +108,14 @@
   TimePoint now() const { return queue_.now(); }
 
   /// Violations so far, one message each: a second response to a request, a
-  /// wrong or incomplete response, a false not-run outcome, or a key executed
-  /// more than once.
+  /// wrong or incomplete response, a stream that begins no correct response, a
+  /// false not-run outcome, or a key executed more than once.
   std::vector<std::string> violations() const;
 
-  /// The correct response of a route to a body; empty for an unknown route.
-  std::optional<std::string> expectedResponse(const std::string &route,
-                                              const std::string &body) const;
+  /// The correct responses of a route to a body, one for each choice of a
+  /// software version for each generation; empty for an unknown route.
+  std::vector<std::string> expectedResponses(const std::string &route,
+                                             const std::string &body) const;
 
   std::uint64_t peerMessages = 0;
   std::uint64_t attemptsStarted = 0;
@@ -158,6 +159,7 @@
   void pollLoadReports(std::size_t host, std::uint64_t incarnation);
   void snapshotHostList();
   TimePoint sentAt(const AttemptId &id) const;
+  std::set<std::string> versionsOf(const Stage &stage) const;
   void checkRecord(const CallerRecord &record,
                    std::vector<std::string> *messages) const;
 
--- a/include/auburnspring/scenario/scenario.h
+++ b/include/auburnspring/scenario/scenario.h
@@ -27,6 +27,8 @@
 struct ScenarioPool {
   std::size_t upstreamCount = 1;
   FakeUpstream::Options options;
+  /// Software versions, which the upstreams have in turn; empty for none.
+  std::vector<std::string> versions;
 };
 
 struct ScenarioRoute {
--- a/src/auburnspring/model/fake_upstream.cpp
+++ b/src/auburnspring/model/fake_upstream.cpp
@@ -22,8 +22,11 @@
   return fmt::format("{:03x} ", (mixed >> 40) & 0xfff);
 }
 
-std::string generatedText(const std::string &prompt, std::int64_t tokens) {
-  const std::uint64_t hash = stableHash(prompt);
+std::string generatedText(const std::string &prompt, std::int64_t tokens,
+                          const std::string &version) {
+  const std::uint64_t hash = version.empty()
+                                 ? stableHash(prompt)
+                                 : stableHash(prompt, stableHash(version));
   std::string text;
   for (std::int64_t n = 0; n < tokens; ++n)
     text += tokenAt(hash, n);
@@ -38,9 +41,9 @@
 
 std::string stageResult(StageKind kind, const std::string &input,
                         const std::string &context, std::uint32_t part,
-                        std::int64_t maxTokens) {
+                        std::int64_t maxTokens, const std::string &version) {
   if (kind == StageKind::Generate)
-    return generatedText(fullPrompt(input, context), maxTokens);
+    return generatedText(fullPrompt(input, context), maxTokens, version);
   return fmt::format("{}:{:016x}:{}", toString(kind),
                      stableHash(input + "|" + context), part);
 }
@@ -172,10 +175,20 @@
                 [this, job] { runOrDefer([this, job] { finish(job); }); });
 }
 
+// As in production, a resumed generation is the text to resume after and what
+// this upstream adds to it, whether or not they fit together.
+std::string FakeUpstream::resultOf(const StartAttempt &attempt) const {
+  const std::string own =
+      stageResult(attempt.kind, attempt.input, attempt.context, attempt.part,
+                  attempt.maxTokens, options_.version);
+  const std::size_t resumed = attempt.resumeText.size();
+  if (resumed >= own.size())
+    return resumed == 0 ? own : attempt.resumeText;
+  return attempt.resumeText + own.substr(resumed);
+}
+
 void FakeUpstream::scheduleStream(const JobPtr &job) {
-  const std::string fullText =
-      stageResult(StageKind::Generate, job->attempt.input, job->attempt.context,
-                  job->attempt.part, job->attempt.maxTokens);
+  const std::string fullText = resultOf(job->attempt);
   const std::size_t start = job->attempt.resumeText.size();
   const std::size_t remaining =
       fullText.size() > start ? fullText.size() - start : 0;
@@ -232,9 +245,7 @@
   execute(*job);
   AttemptSucceeded succeeded;
   succeeded.attempt = job->attempt.attempt;
-  succeeded.text =
-      stageResult(job->attempt.kind, job->attempt.input, job->attempt.context,
-                  job->attempt.part, job->attempt.maxTokens);
+  succeeded.text = resultOf(job->attempt);
   succeeded.usage = usage;
   if (!withProbability(faults.responseLost)) {
     job->deliver(succeeded);
@@ -296,6 +307,7 @@
   listed.dataCentre = options_.dataCentre;
   listed.endpoint.ip = options_.name;
   listed.incarnation = std::to_string(incarnation);
+  listed.version = options_.version;
   listed.leaving = faults.leaving;
   listed.slots = options_.slots;
   return listed;
--- a/src/auburnspring/model/simulation.cpp
+++ b/src/auburnspring/model/simulation.cpp
@@ -423,21 +423,38 @@
   deliver(record.host, record.incarnation, CallerDisconnected{record.request});
 }
 
-std::optional<std::string>
-Simulation::expectedResponse(const std::string &route,
-                             const std::string &body) const {
+std::set<std::string> Simulation::versionsOf(const Stage &stage) const {
+  std::set<std::string> versions;
+  if (stage.kind != StageKind::Generate)
+    return {""};
+  for (const auto &[name, upstream] : upstreams_)
+    if (upstream->options().pool == stage.pool)
+      versions.insert(upstream->options().version);
+  return versions;
+}
+
+std::vector<std::string>
+Simulation::expectedResponses(const std::string &route,
+                              const std::string &body) const {
   const auto found = routes_.find(route);
   if (found == routes_.end())
-    return std::nullopt;
-  std::string context;
+    return {};
+  std::vector<std::string> contexts = {""};
   for (const Stage &stage : found->second->stages) {
-    std::vector<std::string> parts;
-    for (std::uint32_t part = 0; part < stage.parts; ++part)
-      parts.push_back(
-          stageResult(stage.kind, body, context, part, stage.maxTokens));
-    context = parts.size() == 1 ? parts.front() : nlohmann::json(parts).dump();
+    std::vector<std::string> results;
+    for (const std::string &context : contexts) {
+      for (const std::string &version : versionsOf(stage)) {
+        std::vector<std::string> parts;
+        for (std::uint32_t part = 0; part < stage.parts; ++part)
+          parts.push_back(stageResult(stage.kind, body, context, part,
+                                      stage.maxTokens, version));
+        results.push_back(parts.size() == 1 ? parts.front()
+                                            : nlohmann::json(parts).dump());
+      }
+    }
+    contexts = std::move(results);
   }
-  return context;
+  return contexts;
 }
 
 TimePoint Simulation::sentAt(const AttemptId &id) const {
@@ -454,12 +471,24 @@
                   record.key, record.host + 1);
   if (record.responseCount > 1)
     messages->push_back(label + ": received more than one response");
+  const std::vector<std::string> expected =
+      expectedResponses(record.route, record.body);
+  const auto isExpected = [&expected](const auto &matches) {
+    return expected.empty() ||
+           std::any_of(expected.begin(), expected.end(), matches);
+  };
+  if (!isExpected([&record](const std::string &text) {
+        return text.compare(0, record.streamed.size(), record.streamed) == 0;
+      }))
+    messages->push_back(label +
+                        ": the streamed text begins no expected response");
   if (!record.response)
     return;
   const RespondToCaller &response = *record.response;
   if (response.outcome == Outcome::Complete) {
-    const auto expected = expectedResponse(record.route, record.body);
-    if (expected && response.body != *expected)
+    if (!isExpected([&response](const std::string &text) {
+          return text == response.body;
+        }))
       messages->push_back(label +
                           ": the response differs from the expected one");
     if (!record.streamed.empty() &&
--- a/src/auburnspring/scenario/scenario_parser.cpp
+++ b/src/auburnspring/scenario/scenario_parser.cpp
@@ -98,7 +98,16 @@
     return "";
   }
 
+  static std::string readVersions(const std::string &word,
+                                  std::vector<std::string> *out) {
+    *out = absl::StrSplit(word, ',');
+    const bool named = std::all_of(out->begin(), out->end(),
+                                   [](const auto &v) { return !v.empty(); });
+    return named ? "" : "expected versions such as 1,2, got " + word;
+  }
+
   // pool NAME KIND [workers N] [slots N] [service T] [prefill T] [token T]
+  //      [versions V,...]
   std::string readPool(const Words &words) {
     if (words.size() < 3)
       return "expected pool NAME KIND";
@@ -123,6 +132,8 @@
         message = readDuration(words[i + 1], &pool.options.prefill);
       else if (name == "token")
         message = readDuration(words[i + 1], &pool.options.perToken);
+      else if (name == "versions")
+        message = readVersions(words[i + 1], &pool.versions);
       if (!message.empty())
         return message;
     }
--- a/src/auburnspring/scenario/scenario_runner.cpp
+++ b/src/auburnspring/scenario/scenario_runner.cpp
@@ -67,6 +67,8 @@
       FakeUpstream::Options options = pool.options;
       options.name = fmt::format("{}-{}", options.pool, i + 1);
       options.dataCentre = fmt::format("dc-{}", i % 4 + 1);
+      if (!pool.versions.empty())
+        options.version = pool.versions[i % pool.versions.size()];
       simulation_->addUpstream(options);
     }
   }
