RequestRun in two more files by subject

What callers saw: nothing; no logic changes. Change: retries and hedges are in request_run_retry.cpp, the final response in request_run_response.cpp; releaseSlot and UnattainableQuantile become members. Evidence: the moved lines are unchanged.

--- a/include/auburnspring/decision/request_run.h
+++ b/include/auburnspring/decision/request_run.h
@@ -44,6 +44,10 @@
   void collectUpstreams(std::vector<std::string> *names) const;
 
 private:
+  /// A deadline is unattainable if even a fast run of the remaining stages
+  /// would miss it.
+  static constexpr double UnattainableQuantile = 0.1;
+
   struct LiveAttempt {
     AttemptId id;
     TrackedUpstreamPtr upstream;
@@ -74,6 +78,8 @@
   const Stage &stage() const { return route().stages[stage_]; }
   bool isAtMostOnceStage() const { return route().runsAtMostOnce(stage()); }
   static void cancel(LiveAttempt *attempt, Step *step);
+  static void releaseSlot(const std::shared_ptr<PoolState> &pool,
+                          const std::string &organisation, Step *step);
   std::shared_ptr<const Pool> pool(const std::string &name,
                                    const RunContext &context) const;
 
--- a/src/auburnspring/decision/request_run.cpp
+++ b/src/auburnspring/decision/request_run.cpp
@@ -12,39 +12,18 @@
 
 namespace {
 
-constexpr std::uint32_t MaxAttempts = 4;
 // An at-most-once attempt may end this long after the caller's deadline, so
 // that its outcome can be recorded.
 constexpr Duration AtMostOnceGrace = std::chrono::seconds(30);
-constexpr Duration MinRetryAfter = std::chrono::milliseconds(200);
-constexpr Duration MinHedgeDelay = std::chrono::milliseconds(10);
-constexpr double MinGenerateHedgeWeight = 0.8;
 // Sent to upstreams in place of the route's priority. Route owners set those,
 // so they rank requests of one organisation only; an engine that applied them
 // across organisations would defeat the sharing by weight.
 constexpr std::int64_t NeutralPriority = 5;
-// A deadline is unattainable if even a fast run of the remaining stages would
-// miss it.
-constexpr double UnattainableQuantile = 0.1;
-
-bool provesNotRun(FailureKind kind) {
-  return kind == FailureKind::NotSent || kind == FailureKind::Refused ||
-         kind == FailureKind::Leaving || kind == FailureKind::Rejected;
-}
 
 bool startsWith(const std::string &text, const std::string &prefix) {
   return text.compare(0, prefix.size(), prefix) == 0;
 }
 
-void releaseSlot(const std::shared_ptr<PoolState> &pool,
-                 const std::string &organisation, Step *step) {
-  std::vector<SlotRequest> granted;
-  pool->limiter.release(organisation, &granted);
-  for (const SlotRequest &next : granted)
-    step->postEvent(SlotGranted{next.request, next.stage, next.part,
-                                next.organisation, pool});
-}
-
 } // namespace
 
 RequestRun::RequestRun(RequestArrived arrived,
@@ -160,6 +139,15 @@
            context, step);
 }
 
+void RequestRun::releaseSlot(const std::shared_ptr<PoolState> &pool,
+                             const std::string &organisation, Step *step) {
+  std::vector<SlotRequest> granted;
+  pool->limiter.release(organisation, &granted);
+  for (const SlotRequest &next : granted)
+    step->postEvent(SlotGranted{next.request, next.stage, next.part,
+                                next.organisation, pool});
+}
+
 void RequestRun::onSlotGranted(const SlotGranted &granted,
                                const RunContext &context, Step *step) {
   const bool stillNeeded =
@@ -217,23 +205,6 @@
   attempts_.push_back(std::move(attempt));
 }
 
-void RequestRun::setHedge(PartState *part, TimePoint now) const {
-  part->hedgeAt = TimePoint::max();
-  const double weight = route().attainmentWeight;
-  const bool generate = stage().kind == StageKind::Generate;
-  const bool hedgeAllowed =
-      generate ? weight >= MinGenerateHedgeWeight : weight > 0;
-  const bool first = part->attempts == 1;
-  if (!first || !hedgeAllowed || isAtMostOnceStage() || arrived_.stream)
-    return;
-  const Duration tail = liveRoute_->stageLatencies[stage_]->quantile(0.95);
-  const double delayFactor = 2 - weight;
-  part->hedgeAt =
-      now + std::max(MinHedgeDelay,
-                     Duration(static_cast<std::int64_t>(
-                         static_cast<double>(tail.count()) * delayFactor)));
-}
-
 StartAttempt RequestRun::makeStartAttempt(const LiveAttempt &attempt) const {
   StartAttempt start;
   start.attempt = attempt.id;
@@ -353,76 +324,6 @@
   respond(std::move(response), context, step);
 }
 
-void RequestRun::recordFailure(const LiveAttempt &attempt,
-                               const AttemptFailed &event, Step *step) const {
-  switch (event.kind) {
-  case FailureKind::NotSent:
-  case FailureKind::UpstreamFailed:
-  case FailureKind::ResponseLost:
-    recordAttemptFailure(attempt.upstream.get(), step->now.steady);
-    break;
-  case FailureKind::Refused:
-    attempt.pool->limiter.recordOverload(step->now.steady);
-    break;
-  case FailureKind::Leaving:
-    step->postEvent(LeavingDetected{
-        {attempt.upstream->listed.name, attempt.upstream->listed.incarnation}});
-    break;
-  case FailureKind::Rejected:
-  case FailureKind::Cancelled:
-    break;
-  }
-}
-
-void RequestRun::onFailed(const AttemptFailed &event, const RunContext &context,
-                          Step *step) {
-  LiveAttempt *live = findAttempt(event.attempt);
-  if (live == nullptr)
-    return;
-  const LiveAttempt attempt = endAttempt(live, step);
-  ++costOf(attempt.id).failures;
-  recordCost(attempt, event.usage, false);
-  recordFailure(attempt, event, step);
-  if (provesNotRun(event.kind)) {
-    --possiblyRunAttempts_;
-    if (attempt.atMostOnce)
-      atMostOnceMayHaveRun_ = false;
-  }
-  if (responded_ && attempt.atMostOnce)
-    return settleClaim(context, step);
-  const bool stillNeeded = !responded_ && !attempt.cancelled &&
-                           attempt.id.stage == stage_ &&
-                           !parts_[attempt.id.part].done;
-  if (!stillNeeded)
-    return;
-  if (event.kind == FailureKind::Rejected)
-    return reject(event.detail, context, step);
-  if (attempt.atMostOnce && atMostOnceMayHaveRun_)
-    return giveUp(absl::StrCat("the call to ", attempt.upstream->listed.name,
-                               " failed: ", event.detail),
-                  context, step);
-  retryPart(attempt, context, step);
-}
-
-void RequestRun::retryPart(const LiveAttempt &attempt,
-                           const RunContext &context, Step *step) {
-  PartState &state = parts_[attempt.id.part];
-  state.excludedUpstreams.push_back(attempt.upstream->listed.name);
-  if (!attempt.hasGap && attempt.receivedText.size() > state.resumeText.size())
-    state.resumeText = attempt.receivedText;
-  if (liveAttempts(attempt.id.part) > 0)
-    return;
-  const bool allowed = state.attempts < MaxAttempts &&
-                       !cannotFinish(step->now.steady, UnattainableQuantile) &&
-                       stagePool_->budget.spend();
-  if (!allowed)
-    return giveUp(absl::StrCat("stage ", stage().name, " failed at ",
-                               attempt.upstream->listed.name),
-                  context, step);
-  ++costOf(attempt.id).retries;
-  requestSlot(attempt.id.part, context, step);
-}
-
 void RequestRun::onProgress(const AttemptProgress &event, Step *step) {
   LiveAttempt *attempt = findAttempt(event.attempt);
   if (attempt == nullptr || attempt->cancelled || responded_)
@@ -480,72 +381,6 @@
       hedge(part, context, step);
 }
 
-void RequestRun::hedge(std::uint32_t part, const RunContext &context,
-                       Step *step) {
-  PartState &state = parts_[part];
-  state.hedgeAt = TimePoint::max();
-  if (state.done || liveAttempts(part) != 1)
-    return;
-  if (!stagePool_->limiter.tryAcquire(slotRequest(part)))
-    return;
-  if (!stagePool_->budget.spend())
-    return releaseSlot(stagePool_, arrived_.organisation, step);
-  for (const LiveAttempt &attempt : attempts_)
-    if (attempt.id.stage == stage_ && attempt.id.part == part)
-      state.excludedUpstreams.push_back(attempt.upstream->listed.name);
-  ++liveRoute_->counters->stages[stage_].hedges;
-  dispatch(part, context, step);
-}
-
-Duration RequestRun::retryAfterDelay(const RunContext &context) const {
-  const Duration wait = std::max(MinRetryAfter, expectedWait(context));
-  std::uniform_real_distribution<double> jitter(0.8, 1.6);
-  return Duration(static_cast<std::int64_t>(static_cast<double>(wait.count()) *
-                                            jitter(context.random)));
-}
-
-void RequestRun::giveUp(const std::string &reason, const RunContext &context,
-                        Step *step) {
-  RespondToCaller refusal;
-  refusal.outcome = Outcome::NotRun;
-  if (possiblyRunAttempts_ > 0)
-    refusal.outcome = Outcome::Incomplete;
-  if (atMostOnceMayHaveRun_ || otherHostMayHaveRun_ || mayHaveRunEarlier())
-    refusal.outcome = Outcome::Unknown;
-  refusal.reason = reason;
-  refusal.retryAfter = retryAfterDelay(context);
-  respond(std::move(refusal), context, step);
-}
-
-void RequestRun::reject(const std::string &reason, const RunContext &context,
-                        Step *step) {
-  RespondToCaller rejected;
-  rejected.outcome = Outcome::Rejected;
-  rejected.reason = reason;
-  rejected.permanent = true;
-  respond(std::move(rejected), context, step);
-}
-
-void RequestRun::respond(RespondToCaller response, const RunContext &context,
-                         Step *step) {
-  responded_ = true;
-  phase_ = Phase::Finished;
-  ledgerPollAt_ = TimePoint::max();
-  if (claimPending_ && context.ledger.cancelClaim(arrived_.request, step))
-    claimPending_ = false;
-  if (stagePool_)
-    stagePool_->limiter.removeQueued(arrived_.request);
-  cancelAll(step);
-  const bool atMostOnceLive =
-      std::any_of(attempts_.begin(), attempts_.end(),
-                  [](const LiveAttempt &a) { return a.atMostOnce; });
-  if (!atMostOnceLive)
-    settleClaim(context, step);
-  ++liveRoute_->counters->outcomes[static_cast<std::size_t>(response.outcome)];
-  response.request = arrived_.request;
-  step->addAction(std::move(response));
-}
-
 StageCost &RequestRun::costOf(const AttemptId &id) const {
   return liveRoute_->counters->stages[id.stage];
 }
