A generation that has begun continues only at its software version

Cause: neither the choice of an upstream nor RequestRun knew of versions, so a retry or hedge resumed the text of one version at any other. What callers saw: complete responses and streams by two versions; a caller whose version was gone waited for a slot first. Change: the first output of a part binds it to its upstream's version, and attempts at other versions that run beside end then. SelectionCriteria::version is part of isEligible, so sampling, scan, prefix affinity and the case of ignored ejections obey it. Where none of that version accepts work, the caller gets `incomplete` without a place in the queue. Upstreams without a version are one version.

--- a/include/auburnspring/decision/request_run.h
+++ b/include/auburnspring/decision/request_run.h
@@ -3,8 +3,10 @@
 
 #include "auburnspring/decision/run_context.h"
 #include "auburnspring/decision/step.h"
+#include "auburnspring/decision/upstream_selection.h"
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -68,6 +70,9 @@
     /// Text received from failed attempts; the next attempt continues after
     /// it.
     std::string resumeText;
+    /// Software version that wrote the first output. No other version may add
+    /// to it; none while there is no output.
+    std::optional<std::string> version;
     std::vector<std::string> excludedUpstreams;
     TimePoint hedgeAt = TimePoint::max();
   };
@@ -98,6 +103,11 @@
   SlotRequest slotRequest(std::uint32_t part) const;
   void dispatch(std::uint32_t part, const RunContext &context, Step *step);
   StartAttempt makeStartAttempt(const LiveAttempt &attempt) const;
+  SelectionCriteria selectionCriteria(const PartState &part,
+                                      const RunContext &context) const;
+  bool canContinue(const PartState &part, const RunContext &context) const;
+  std::string noUpstreamReason(const PartState &part) const;
+  void bindToVersion(const LiveAttempt &begun, Step *step);
   void setHedge(PartState *part, TimePoint now) const;
   LiveAttempt *findAttempt(const AttemptId &id);
   LiveAttempt endAttempt(LiveAttempt *attempt, Step *step);
--- a/include/auburnspring/decision/upstream_selection.h
+++ b/include/auburnspring/decision/upstream_selection.h
@@ -7,6 +7,7 @@
 #include <absl/strings/string_view.h>
 #include <absl/types/span.h>
 
+#include <optional>
 #include <random>
 #include <string>
 
@@ -19,6 +20,9 @@
   /// Prompt whose prefix a model engine may have cached; empty for none.
   absl::string_view prompt;
   absl::string_view dataCentre;
+  /// Software version that the upstream must run; none if any will do. "" is
+  /// the version of the upstreams that are listed without one.
+  std::optional<absl::string_view> version;
   /// Names of upstreams that have already failed this part of the stage.
   absl::Span<const std::string> avoid;
 };
@@ -31,6 +35,10 @@
                const SelectionCriteria &criteria, TimePoint now,
                std::mt19937_64 *random);
 
+/// True if chooseUpstream would find an upstream.
+bool hasCandidate(absl::Span<const TrackedUpstreamPtr> upstreams,
+                  const SelectionCriteria &criteria);
+
 /// Expected time until a new attempt on the upstream ends.
 Duration expectedFinish(const TrackedUpstream &upstream, TimePoint now);
 
--- a/src/auburnspring/decision/request_run.cpp
+++ b/src/auburnspring/decision/request_run.cpp
@@ -1,7 +1,6 @@
 #include "auburnspring/decision/request_run.h"
 
 #include "auburnspring/base/digest.h"
-#include "auburnspring/decision/upstream_selection.h"
 
 #include <absl/strings/str_cat.h>
 #include <nlohmann/json.hpp>
@@ -158,6 +157,34 @@
   dispatch(granted.part, context, step);
 }
 
+SelectionCriteria
+RequestRun::selectionCriteria(const PartState &part,
+                              const RunContext &context) const {
+  SelectionCriteria criteria;
+  criteria.model = stage().model;
+  if (stage().kind == StageKind::Generate)
+    criteria.prompt = arrived_.body;
+  criteria.dataCentre = context.dataCentre;
+  criteria.avoid = part.excludedUpstreams;
+  if (part.version)
+    criteria.version = *part.version;
+  return criteria;
+}
+
+bool RequestRun::canContinue(const PartState &part,
+                             const RunContext &context) const {
+  const std::shared_ptr<const Pool> found = pool(stage().pool, context);
+  return found &&
+         hasCandidate(found->upstreams, selectionCriteria(part, context));
+}
+
+std::string RequestRun::noUpstreamReason(const PartState &part) const {
+  const std::string version =
+      part.version ? absl::StrCat(" of version \"", *part.version, "\"") : "";
+  return absl::StrCat("no upstream", version, " of pool ", stage().pool,
+                      " accepts new requests");
+}
+
 // The caller holds a slot, whose ownership passes to the attempt. Deadline and
 // upstream are checked here, immediately before the send, because a SlotGranted
 // event may be handled long after it was queued.
@@ -168,22 +195,16 @@
   const std::shared_ptr<const Pool> found = pool(stage().pool, context);
   TrackedUpstreamPtr upstream;
   const bool late = cannotFinish(now, startQuantile());
-  if (found && !late) {
-    SelectionCriteria criteria;
-    criteria.model = stage().model;
-    if (stage().kind == StageKind::Generate)
-      criteria.prompt = arrived_.body;
-    criteria.dataCentre = context.dataCentre;
-    criteria.avoid = state.excludedUpstreams;
-    upstream = chooseUpstream(found->upstreams, criteria, now, &context.random);
-  }
+  if (found && !late)
+    upstream =
+        chooseUpstream(found->upstreams, selectionCriteria(state, context), now,
+                       &context.random);
   if (!upstream) {
     releaseSlot(stagePool_, arrived_.organisation, step);
     if (liveAttempts(part) > 0)
       return;
     return giveUp(late ? "the remaining stages can't finish within the deadline"
-                       : absl::StrCat("no upstream of pool ", stage().pool,
-                                      " accepts new requests"),
+                       : noUpstreamReason(state),
                   context, step);
   }
   LiveAttempt attempt;
@@ -324,10 +345,26 @@
   respond(std::move(response), context, step);
 }
 
+// Attempts at other versions that run beside end here, so that from the first
+// output on all attempts of a part are at one version.
+void RequestRun::bindToVersion(const LiveAttempt &begun, Step *step) {
+  std::optional<std::string> &version = parts_[begun.id.part].version;
+  if (version)
+    return;
+  version = begun.upstream->listed.version;
+  for (LiveAttempt &attempt : attempts_)
+    if (attempt.id.stage == begun.id.stage &&
+        attempt.id.part == begun.id.part &&
+        attempt.upstream->listed.version != *version)
+      cancel(&attempt, step);
+}
+
 void RequestRun::onProgress(const AttemptProgress &event, Step *step) {
   LiveAttempt *attempt = findAttempt(event.attempt);
-  if (attempt == nullptr || attempt->cancelled || responded_)
+  if (attempt == nullptr || attempt->cancelled || responded_ ||
+      attempt->id.stage != stage_)
     return;
+  bindToVersion(*attempt, step);
   if (attempt->hasGap || event.offset != attempt->receivedText.size()) {
     attempt->hasGap = true;
     return;
--- a/src/auburnspring/decision/request_run_retry.cpp
+++ b/src/auburnspring/decision/request_run_retry.cpp
@@ -1,8 +1,6 @@
 // RequestRun: failed attempts, their retries, and hedges.
 #include "auburnspring/decision/request_run.h"
 
-#include "auburnspring/decision/upstream_selection.h"
-
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
@@ -98,6 +96,9 @@
     state.resumeText = attempt.receivedText;
   if (liveAttempts(attempt.id.part) > 0)
     return;
+  // In the queue for a slot the caller would wait in vain.
+  if (state.version && !canContinue(state, context))
+    return giveUp(noUpstreamReason(state), context, step);
   const bool allowed = state.attempts < MaxAttempts &&
                        !cannotFinish(step->now.steady, UnattainableQuantile) &&
                        stagePool_->budget.spend();
--- a/src/auburnspring/decision/request_run_version_test.cpp
+++ b/src/auburnspring/decision/request_run_version_test.cpp
@@ -1,11 +1,13 @@
 #include "auburnspring/base/digest.h"
 #include "auburnspring/decision/entry_host.h"
+#include "auburnspring/decision/upstream_selection.h"
 
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
 
 #include <algorithm>
 #include <map>
+#include <random>
 
 using namespace auburnspring;
 
@@ -115,6 +117,22 @@
 
 constexpr std::uint64_t Seeds = 50;
 
+// An upstream of version 0, 1 or 2 in a random state.
+TrackedUpstreamPtr randomUpstream(std::size_t number, TimePoint now,
+                                  std::mt19937_64 *random) {
+  ListedUpstream listed;
+  listed.name = fmt::format("engine-{}", number);
+  listed.version = std::to_string((*random)() % 3);
+  auto upstream = std::make_shared<TrackedUpstream>(listed);
+  upstream->leaving = (*random)() % 5 == 0;
+  upstream->drained = (*random)() % 5 == 0;
+  upstream->inFlight = static_cast<std::int32_t>((*random)() % 9);
+  // More than half, so that ejections are often ignored.
+  if ((*random)() % 5 < 3)
+    upstream->ejectedUntilMicros = toMicros(now) + 1000000;
+  return upstream;
+}
+
 } // namespace
 
 // Guards against text of one version that another version continues.
@@ -220,3 +238,37 @@
     CHECK(second->upstream != first->upstream);
   }
 }
+
+// Guards against a rule of the choice (sampling, scan, prefix, ignored
+// ejections, avoided upstreams) that passes over the version.
+TEST_CASE("every choice obeys the required version") {
+  const TimePoint now = TimePoint(std::chrono::hours(1));
+  int chosen = 0;
+  for (std::uint64_t seed = 1; seed <= 5000; ++seed) {
+    std::mt19937_64 random(seed);
+    std::vector<TrackedUpstreamPtr> upstreams;
+    for (std::size_t i = 0; i < 1 + seed % 12; ++i)
+      upstreams.push_back(randomUpstream(i, now, &random));
+    const std::vector<std::string> avoided = {"engine-0", "engine-1"};
+    const std::string version = std::to_string(random() % 3);
+    SelectionCriteria criteria;
+    criteria.version = version;
+    criteria.prompt = seed % 2 == 0 ? "prompt" : "";
+    criteria.avoid = avoided;
+    const bool possible = std::any_of(
+        upstreams.begin(), upstreams.end(), [&](const auto &upstream) {
+          return upstream->acceptsNewWork() &&
+                 upstream->listed.version == version;
+        });
+    const TrackedUpstreamPtr found =
+        chooseUpstream(upstreams, criteria, now, &random);
+    INFO("seed " << seed);
+    REQUIRE(hasCandidate(upstreams, criteria) == possible);
+    REQUIRE((found != nullptr) == possible);
+    if (!found)
+      continue;
+    REQUIRE(found->listed.version == version);
+    ++chosen;
+  }
+  CHECK(chosen > 2000);
+}
--- a/src/auburnspring/decision/upstream_selection.cpp
+++ b/src/auburnspring/decision/upstream_selection.cpp
@@ -44,9 +44,15 @@
                    upstream.listed.name) != criteria.avoid.end();
 }
 
+bool runsVersion(const TrackedUpstream &upstream,
+                 const std::optional<absl::string_view> &version) {
+  return !version || upstream.listed.version == *version;
+}
+
 bool isEligible(const TrackedUpstream &upstream,
                 const SelectionCriteria &criteria) {
-  return upstream.acceptsNewWork() && servesModel(upstream, criteria.model);
+  return upstream.acceptsNewWork() && servesModel(upstream, criteria.model) &&
+         runsVersion(upstream, criteria.version);
 }
 
 bool isPreferred(const TrackedUpstream &upstream,
@@ -191,6 +197,14 @@
   return toShared(upstreams, best);
 }
 
+bool hasCandidate(absl::Span<const TrackedUpstreamPtr> upstreams,
+                  const SelectionCriteria &criteria) {
+  return std::any_of(upstreams.begin(), upstreams.end(),
+                     [&criteria](const TrackedUpstreamPtr &upstream) {
+                       return isEligible(*upstream, criteria);
+                     });
+}
+
 void recordAttemptSuccess(TrackedUpstream *upstream, Duration elapsed) {
   const std::int64_t old = upstream->smoothedMicros;
   const double sample = static_cast<double>(elapsed.count());
