Calls of the stores end at their timeout

Cause: POCO ignores the timeouts of an HTTPClientSession that is built from a socket, and callHttp set them only there. What callers saw: nothing at once; a thread that called a key-value service, a host list or an upstream's load report which accepts connections and never responds was lost until the other side closed. Change: the timeouts are set on the socket.

--- a/src/auburnspring/store/http_call.cpp
+++ b/src/auburnspring/store/http_call.cpp
@@ -74,6 +74,9 @@
     socket.connect(Poco::Net::SocketAddress(endpoint.ip, endpoint.port),
                    toTimespan(call.connectTimeout));
     socket.setNoDelay(true);
+    // POCO ignores the timeouts of a session that is built from a socket.
+    socket.setSendTimeout(toTimespan(call.responseTimeout));
+    socket.setReceiveTimeout(toTimespan(call.responseTimeout));
   } catch (const Poco::Exception &error) {
     return absl::UnavailableError(absl::StrCat(
         "can't connect to ", toString(endpoint), ": ", error.displayText()));
@@ -82,7 +85,6 @@
     // A session that is built from a socket has no host and can't reconnect.
     Poco::Net::HTTPClientSession session(socket);
     session.setKeepAlive(false);
-    session.setTimeout(toTimespan(call.responseTimeout));
     return exchange(&session, endpoint, call);
   } catch (const Poco::Exception &error) {
     return absl::DataLossError(absl::StrCat("the call to ", toString(endpoint),
--- a/src/auburnspring/store/store_test.cpp
+++ b/src/auburnspring/store/store_test.cpp
@@ -137,3 +137,15 @@
                     R"("address":"127.0.0.1:9","version":2}]})")
           .ok());
 }
+
+// Guards against calls that wait for good for a server that accepts connections
+// and never responds.
+TEST_CASE("a call without a response ends at its timeout") {
+  Poco::Net::ServerSocket server(Poco::Net::SocketAddress("127.0.0.1", 0));
+  HttpCall call;
+  call.responseTimeout = std::chrono::milliseconds(200);
+  const auto begin = std::chrono::steady_clock::now();
+  const auto response = callHttp({"127.0.0.1", server.address().port()}, call);
+  CHECK(response.status().code() == absl::StatusCode::kDataLoss);
+  CHECK(std::chrono::steady_clock::now() - begin < std::chrono::seconds(1));
+}
