Attempts end at their deadline, and at nothing earlier

What callers saw: an at-most-once call to a service that never responds kept its claim open for good, so that later calls with its key waited until their own deadline; its thread and slot were lost. With the idle timeout in force, sound upstreams' streams would have ended after 1.5 s of silence. Change: each receive may take until the deadline; the idle timeout goes.

--- a/include/auburnspring/upstream/attempt_runner.h
+++ b/include/auburnspring/upstream/attempt_runner.h
@@ -10,15 +10,13 @@
 namespace auburnspring {
 
 /// Sends attempts to upstreams, each on its own thread and connection, and
-/// reports exactly one AttemptSucceeded or AttemptFailed for each.
+/// reports exactly one AttemptSucceeded or AttemptFailed for each, the latter
+/// at its deadline if no response has arrived. Silence alone ends no attempt.
 class AttemptRunner {
 public:
   struct Options {
     int maxThreads = 512;
     Duration connectTimeout = std::chrono::milliseconds(500);
-    /// A stream that receives no data for this long fails: the connection may
-    /// be lost although the upstream is alive.
-    Duration streamIdleTimeout = std::chrono::milliseconds(1500);
     std::size_t maxResponseBytes = 8 << 20;
   };
 
--- a/src/auburnspring/upstream/attempt_runner.cpp
+++ b/src/auburnspring/upstream/attempt_runner.cpp
@@ -127,7 +127,8 @@
     }
     sockets_->add(attempt_.attempt, socket);
     try {
-      return exchange(socket);
+      socket.setSendTimeout(toTimespan(left));
+      return exchange(&socket);
     } catch (const Poco::Exception &error) {
       return failure(FailureKind::ResponseLost, error.displayText());
     } catch (const std::exception &error) {
@@ -137,13 +138,10 @@
 
   // The session is built from a socket and has no host, so POCO can't reconnect
   // and resend the request.
-  Event exchange(const Poco::Net::StreamSocket &socket) {
-    Poco::Net::HTTPClientSession session(socket);
+  Event exchange(Poco::Net::StreamSocket *socket) {
+    Poco::Net::HTTPClientSession session(*socket);
     session.setKeepAlive(false);
     const bool isStream = attempt_.kind == StageKind::Generate;
-    const Duration left = remaining(attempt_.deadline);
-    session.setTimeout(toTimespan(
-        isStream ? std::min(left, options_.streamIdleTimeout) : left));
     Poco::Net::HTTPRequest request(Poco::Net::HTTPRequest::HTTP_POST,
                                    attemptPath(attempt_.kind),
                                    Poco::Net::HTTPMessage::HTTP_1_1);
@@ -154,17 +152,25 @@
     request.setKeepAlive(false);
     session.sendRequest(request) << body << std::flush;
     Poco::Net::HTTPResponse response;
+    waitUntilDeadline(socket);
     std::istream &responseBody = session.receiveResponse(response);
     if (isStream && response.getStatus() == Ok)
-      return readStream(responseBody);
-    return readBody(responseBody, response);
+      return readStream(responseBody, socket);
+    return readBody(responseBody, response, socket);
+  }
+
+  // Sets the timeout of the next receive. It is the socket's, since POCO
+  // ignores the timeouts of a session that is built from a socket.
+  void waitUntilDeadline(Poco::Net::StreamSocket *socket) const {
+    socket->setReceiveTimeout(toTimespan(remaining(attempt_.deadline)));
   }
 
-  Event readBody(std::istream &stream,
-                 const Poco::Net::HTTPResponse &response) const {
+  Event readBody(std::istream &stream, const Poco::Net::HTTPResponse &response,
+                 Poco::Net::StreamSocket *socket) const {
     std::string body;
     char buffer[16384];
     while (stream.read(buffer, sizeof buffer) || stream.gcount() > 0) {
+      waitUntilDeadline(socket);
       body.append(buffer, static_cast<std::size_t>(stream.gcount()));
       if (body.size() > options_.maxResponseBytes)
         return failure(FailureKind::ResponseLost,
@@ -177,10 +183,12 @@
                               static_cast<int>(response.getStatus()), body);
   }
 
-  Event readStream(std::istream &stream) const {
+  Event readStream(std::istream &stream,
+                   Poco::Net::StreamSocket *socket) const {
     std::string text = attempt_.resumeText;
     std::string line;
     while (std::getline(stream, line)) {
+      waitUntilDeadline(socket);
       if (!line.empty() && line.back() == '\r')
         line.pop_back();
       if (!absl::StartsWith(line, "data: "))
--- /dev/null
+++ b/src/auburnspring/upstream/attempt_runner_test.cpp
@@ -0,0 +1,125 @@
+#include "auburnspring/upstream/attempt_runner.h"
+
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/StreamSocket.h>
+#include <catch2/catch.hpp>
+#include <fmt/format.h>
+
+#include <future>
+#include <string>
+#include <thread>
+
+using namespace auburnspring;
+
+namespace {
+
+constexpr Duration Silence = std::chrono::milliseconds(1800);
+constexpr Duration Deadline = std::chrono::seconds(5);
+
+TimePoint steadyNow() {
+  return std::chrono::time_point_cast<Duration>(
+      std::chrono::steady_clock::now());
+}
+
+StartAttempt attemptAt(std::uint16_t port, StageKind kind, Duration deadline) {
+  StartAttempt start;
+  start.attempt = {1, 1, 0, 0, 1};
+  start.endpoint = {"127.0.0.1", port};
+  start.kind = kind;
+  start.deadline = steadyNow() + deadline;
+  return start;
+}
+
+std::string completionEvent(const AttemptId &id, std::size_t offset,
+                            const char *text, const char *reason) {
+  return fmt::format("data: {{\"attempt\":\"{}\",\"offset\":{},\"choices\":"
+                     "[{{\"text\":\"{}\",\"finish_reason\":{}}}]}}\n\n",
+                     toString(id), offset, text, reason);
+}
+
+void send(Poco::Net::StreamSocket *socket, const std::string &text) {
+  socket->sendBytes(text.data(), static_cast<int>(text.size()));
+}
+
+// Serves one generation of eight bytes; silent once before the first byte of
+// the response or between its halves.
+void serveOne(Poco::Net::ServerSocket *server, const AttemptId &id,
+              bool silentBeforeStart) {
+  Poco::Net::StreamSocket socket = server->acceptConnection();
+  char buffer[4096];
+  socket.receiveBytes(buffer, sizeof buffer);
+  if (silentBeforeStart)
+    std::this_thread::sleep_for(Silence);
+  send(&socket, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+                "Connection: close\r\n\r\n");
+  send(&socket, completionEvent(id, 0, "abc ", "null"));
+  if (!silentBeforeStart)
+    std::this_thread::sleep_for(Silence);
+  send(&socket, completionEvent(id, 4, "def ", "null"));
+  send(&socket, completionEvent(id, 8, "", "\"stop\""));
+  socket.shutdownSend();
+  // Until the client has closed its end, so that nothing sent is lost.
+  while (socket.receiveBytes(buffer, sizeof buffer) > 0) {
+  }
+}
+
+// The event with which the attempt ends.
+Event runAttempt(const StartAttempt &start) {
+  std::promise<Event> ended;
+  AttemptRunner runner(AttemptRunner::Options(), [&ended](Event event) {
+    if (!std::holds_alternative<AttemptProgress>(event))
+      ended.set_value(std::move(event));
+  });
+  runner.start(start);
+  Event event = ended.get_future().get();
+  runner.join();
+  return event;
+}
+
+Event runAgainstSilentUpstream(bool silentBeforeStart) {
+  Poco::Net::ServerSocket server(Poco::Net::SocketAddress("127.0.0.1", 0));
+  const StartAttempt start =
+      attemptAt(server.address().port(), StageKind::Generate, Deadline);
+  std::thread upstream(
+      [&] { serveOne(&server, start.attempt, silentBeforeStart); });
+  Event event = runAttempt(start);
+  upstream.join();
+  return event;
+}
+
+} // namespace
+
+// Guards against a sound upstream's response that is dropped because it is
+// silent for more than a second.
+TEST_CASE("an attempt outlasts its upstream's silence in mid-stream") {
+  const Event event = runAgainstSilentUpstream(false);
+  const auto *succeeded = std::get_if<AttemptSucceeded>(&event);
+  REQUIRE(succeeded != nullptr);
+  CHECK(succeeded->text == "abc def ");
+}
+
+// Guards against an attempt that fails while its upstream has it queued.
+TEST_CASE("an attempt outlasts silence before the response begins") {
+  const Event event = runAgainstSilentUpstream(true);
+  const auto *succeeded = std::get_if<AttemptSucceeded>(&event);
+  REQUIRE(succeeded != nullptr);
+  CHECK(succeeded->text == "abc def ");
+}
+
+// Guards against attempts at an upstream that never responds, which kept their
+// thread and slot, and an at-most-once key its claim, for good.
+TEST_CASE("an attempt without a response ends at its deadline") {
+  constexpr Duration ShortDeadline = std::chrono::milliseconds(300);
+  for (const StageKind kind : {StageKind::Call, StageKind::Generate}) {
+    // Connections are accepted by the system and never read.
+    Poco::Net::ServerSocket server(Poco::Net::SocketAddress("127.0.0.1", 0));
+    const TimePoint begin = steadyNow();
+    const Event event =
+        runAttempt(attemptAt(server.address().port(), kind, ShortDeadline));
+    const auto *failed = std::get_if<AttemptFailed>(&event);
+    REQUIRE(failed != nullptr);
+    CHECK(failed->kind == FailureKind::ResponseLost);
+    CHECK(steadyNow() - begin >= ShortDeadline);
+    CHECK(steadyNow() - begin < ShortDeadline + std::chrono::seconds(1));
+  }
+}
