A silent generation gets a second attempt beside it

Cause: nothing in RequestRun noticed silence. The model ended a silent stream after 1.5 to 3 s, which the daemon never did, so that the scenarios did not show it. What callers saw: a stream, or a response of a route without hedges, whose upstream's connection was lost without a sign ended as incomplete at its deadline, although others could have gone on. Change: after 1.5 s without output from any of a generation's attempts another one is started after the text received, at an upstream that is not silent; from 3 s on also at a silent one, whose connection may be lost. The silent attempt stays until the replacement brings more text, and the first of them to do so goes on; silence alone ends nothing before the deadline. Three replacements at most, within the retry budget, and apart from the retries of failures. A silent attempt that is overtaken counts as a failure of its upstream. The model ends no silent stream any more, closes cancelled connections, and has engines that pause.

--- a/include/auburnspring/decision/request_run.h
+++ b/include/auburnspring/decision/request_run.h
@@ -49,6 +49,10 @@
   /// A deadline is unattainable if even a fast run of the remaining stages
   /// would miss it.
   static constexpr double UnattainableQuantile = 0.1;
+  /// Silence of all attempts of a generation after which another one is started
+  /// beside them. Sound upstreams are silent for a second or so at times.
+  static constexpr Duration SilenceBeforeReplacement =
+      std::chrono::milliseconds(1500);
 
   struct LiveAttempt {
     AttemptId id;
@@ -61,11 +65,15 @@
     std::string receivedText;
     /// Bytes of the stream are missing; only the final text is used.
     bool hasGap = false;
+    /// Start or last output of a generation; none for other attempts.
+    std::optional<TimePoint> lastOutputAt;
   };
 
   struct PartState {
     bool done = false;
     std::uint32_t attempts = 0;
+    /// Attempts that were started beside silent ones.
+    std::uint32_t replacements = 0;
     std::string result;
     /// Text received from failed attempts; the next attempt continues after
     /// it.
@@ -74,7 +82,15 @@
     /// to it; none while there is no output.
     std::optional<std::string> version;
     std::vector<std::string> excludedUpstreams;
+    /// The next attempt may go to no excluded upstream, even if there is no
+    /// other.
+    bool excludesStrictly = false;
     TimePoint hedgeAt = TimePoint::max();
+    /// When all attempts of a generation have been silent for too long.
+    TimePoint silentAt = TimePoint::max();
+    /// Set while a replacement runs beside silent attempts: the first attempt
+    /// with more text than this many bytes goes on, and the others end.
+    std::optional<std::size_t> contestedBytes;
   };
 
   enum class Phase { Claiming, AwaitingClaimant, Running, Finished };
@@ -119,6 +135,10 @@
   void retryPart(const LiveAttempt &attempt, const RunContext &context,
                  Step *step);
   void hedge(std::uint32_t part, const RunContext &context, Step *step);
+  bool takeExtraSlot(std::uint32_t part, Step *step);
+  Duration collectSilent(std::uint32_t part, TimePoint now);
+  void replaceSilent(std::uint32_t part, const RunContext &context, Step *step);
+  void settleContest(const LiveAttempt &winner, Step *step);
   void cancelPart(std::uint32_t part, Step *step);
   void cancelAll(Step *step);
   void complete(const RunContext &context, Step *step);
--- a/include/auburnspring/decision/upstream_selection.h
+++ b/include/auburnspring/decision/upstream_selection.h
@@ -25,6 +25,8 @@
   std::optional<absl::string_view> version;
   /// Names of upstreams that have already failed this part of the stage.
   absl::Span<const std::string> avoid;
+  /// Avoided upstreams won't do even if there is no other.
+  bool avoidStrictly = false;
 };
 
 /// Selects the upstream with the lowest expected finish time among two random
--- a/include/auburnspring/model/fake_upstream.h
+++ b/include/auburnspring/model/fake_upstream.h
@@ -66,6 +66,10 @@
     double connectionLost = 0;
     /// Share of responses delivered twice.
     double duplicate = 0;
+    /// Share of generations in whose middle the upstream is silent for `pause`,
+    /// after which it goes on.
+    double pauseShare = 0;
+    Duration pause{0};
   };
 
   /// Receives the events of an attempt, in order.
@@ -112,6 +116,8 @@
     std::uint64_t sequence = 0;
     TimePoint startedAt;
     Duration duration{0};
+    /// Silence after half of the duration.
+    Duration pause{0};
     std::int64_t cachedTokens = 0;
     bool ended = false;
   };
--- a/include/auburnspring/model/simulation.h
+++ b/include/auburnspring/model/simulation.h
@@ -58,8 +58,6 @@
     Duration hostListLag = std::chrono::seconds(1);
     Duration loadReportInterval = std::chrono::milliseconds(500);
     Duration keyValueTimeout = std::chrono::milliseconds(800);
-    /// A stream without progress for this long is aborted.
-    Duration streamStall = std::chrono::milliseconds(1500);
     HostFactory makeHost = makeEntryHost;
     /// Adjusts each host's options before it starts.
     std::function<void(EntryHost::Options *options)> adjustOptions;
@@ -121,11 +119,6 @@
   std::uint64_t attemptsStarted = 0;
 
 private:
-  struct OpenAttempt {
-    std::string upstream;
-    TimePoint lastProgressAt;
-  };
-
   struct HostSlot {
     std::unique_ptr<HostUnderTest> host;
     std::uint64_t incarnation = 0;
@@ -134,7 +127,8 @@
     std::vector<Event> deferredEvents;
     TimePoint tickAt = TimePoint::max();
     std::map<RequestId, std::size_t> records;
-    std::map<AttemptId, OpenAttempt> attempts;
+    /// Upstream of each open attempt.
+    std::map<AttemptId, std::string> attempts;
   };
 
   Instant instant() const;
@@ -145,12 +139,11 @@
   void scheduleTick(std::size_t host);
   void perform(std::size_t host, Action &action);
   void startAttempt(std::size_t host, const StartAttempt &action);
-  void watchStream(std::size_t host, std::uint64_t incarnation,
-                   const AttemptId &id);
   void endAttempt(std::size_t host, std::uint64_t incarnation,
-                  const AttemptId &id, const char *detail);
+                  const AttemptId &id, FailureKind kind, const char *detail);
   void receiveAttemptEvent(std::size_t host, std::uint64_t incarnation,
                            const Event &event);
+  void cancelAtUpstream(const std::string &upstream, const AttemptId &id);
   void cancelAttempt(std::size_t host, const CancelAttempt &action);
   void respondToCaller(std::size_t host, const RespondToCaller &action);
   void callKeyValue(std::size_t host, const CallKeyValue &action);
--- a/src/auburnspring/decision/request_run.cpp
+++ b/src/auburnspring/decision/request_run.cpp
@@ -166,6 +166,7 @@
     criteria.prompt = arrived_.body;
   criteria.dataCentre = context.dataCentre;
   criteria.avoid = part.excludedUpstreams;
+  criteria.avoidStrictly = part.excludesStrictly;
   if (part.version)
     criteria.version = *part.version;
   return criteria;
@@ -215,6 +216,10 @@
   attempt.startedAt = now;
   attempt.atMostOnce = isAtMostOnceStage();
   attempt.receivedText = state.resumeText;
+  if (stage().kind == StageKind::Generate) {
+    attempt.lastOutputAt = now;
+    state.silentAt = now + SilenceBeforeReplacement;
+  }
   ++attempt.upstream->inFlight;
   ++possiblyRunAttempts_;
   atMostOnceMayHaveRun_ = atMostOnceMayHaveRun_ || attempt.atMostOnce;
@@ -308,6 +313,7 @@
   parts_[part].done = true;
   parts_[part].result = std::move(text);
   parts_[part].hedgeAt = TimePoint::max();
+  parts_[part].silentAt = TimePoint::max();
   cancelPart(part, step);
   const bool all = std::all_of(parts_.begin(), parts_.end(),
                                [](const PartState &p) { return p.done; });
@@ -345,45 +351,16 @@
   respond(std::move(response), context, step);
 }
 
-// Attempts at other versions that run beside end here, so that from the first
-// output on all attempts of a part are at one version.
-void RequestRun::bindToVersion(const LiveAttempt &begun, Step *step) {
-  std::optional<std::string> &version = parts_[begun.id.part].version;
-  if (version)
-    return;
-  version = begun.upstream->listed.version;
-  for (LiveAttempt &attempt : attempts_)
-    if (attempt.id.stage == begun.id.stage &&
-        attempt.id.part == begun.id.part &&
-        attempt.upstream->listed.version != *version)
-      cancel(&attempt, step);
-}
-
-void RequestRun::onProgress(const AttemptProgress &event, Step *step) {
-  LiveAttempt *attempt = findAttempt(event.attempt);
-  if (attempt == nullptr || attempt->cancelled || responded_ ||
-      attempt->id.stage != stage_)
-    return;
-  bindToVersion(*attempt, step);
-  if (attempt->hasGap || event.offset != attempt->receivedText.size()) {
-    attempt->hasGap = true;
-    return;
-  }
-  attempt->receivedText += event.text;
-  const bool last = attempt->id.stage + 1U == route().stages.size();
-  if (!arrived_.stream || !last ||
-      attempt->receivedText.size() <= streamedBytes_)
-    return;
-  step->addAction(StreamToCaller{arrived_.request,
-                                 attempt->receivedText.substr(streamedBytes_)});
-  streamedBytes_ = attempt->receivedText.size();
-}
-
 // An at-most-once attempt is not cancelled, since its outcome must be recorded.
 void RequestRun::cancel(LiveAttempt *attempt, Step *step) {
   if (attempt->cancelled || attempt->atMostOnce)
     return;
   attempt->cancelled = true;
+  const bool silent =
+      attempt->lastOutputAt &&
+      step->now.steady - *attempt->lastOutputAt >= SilenceBeforeReplacement;
+  if (silent)
+    recordAttemptFailure(attempt->upstream.get(), step->now.steady);
   step->addAction(CancelAttempt{attempt->id});
 }
 
@@ -413,9 +390,12 @@
     return requestClaim(true, context, step);
   if (phase_ != Phase::Running)
     return;
-  for (std::uint32_t part = 0; part < parts_.size() && !responded_; ++part)
+  for (std::uint32_t part = 0; part < parts_.size() && !responded_; ++part) {
     if (now >= parts_[part].hedgeAt)
       hedge(part, context, step);
+    if (now >= parts_[part].silentAt)
+      replaceSilent(part, context, step);
+  }
 }
 
 StageCost &RequestRun::costOf(const AttemptId &id) const {
@@ -442,7 +422,7 @@
     return TimePoint::max();
   TimePoint next = std::min(deadline_, ledgerPollAt_);
   for (const PartState &part : parts_)
-    next = std::min(next, part.hedgeAt);
+    next = std::min({next, part.hedgeAt, part.silentAt});
   return next;
 }
 
--- a/src/auburnspring/decision/request_run_retry.cpp
+++ b/src/auburnspring/decision/request_run_retry.cpp
@@ -9,6 +9,8 @@
 
 namespace {
 
+// Without the replacements of silent attempts, which leave a part as many
+// retries as it would have had.
 constexpr std::uint32_t MaxAttempts = 4;
 constexpr Duration MinHedgeDelay = std::chrono::milliseconds(10);
 constexpr double MinGenerateHedgeWeight = 0.8;
@@ -99,7 +101,7 @@
   // In the queue for a slot the caller would wait in vain.
   if (state.version && !canContinue(state, context))
     return giveUp(noUpstreamReason(state), context, step);
-  const bool allowed = state.attempts < MaxAttempts &&
+  const bool allowed = state.attempts - state.replacements < MaxAttempts &&
                        !cannotFinish(step->now.steady, UnattainableQuantile) &&
                        stagePool_->budget.spend();
   if (!allowed)
@@ -110,16 +112,24 @@
   requestSlot(attempt.id.part, context, step);
 }
 
+// Takes a slot and a retry of the budget for an attempt beside others.
+bool RequestRun::takeExtraSlot(std::uint32_t part, Step *step) {
+  if (!stagePool_->limiter.tryAcquire(slotRequest(part)))
+    return false;
+  if (stagePool_->budget.spend())
+    return true;
+  releaseSlot(stagePool_, arrived_.organisation, step);
+  return false;
+}
+
 void RequestRun::hedge(std::uint32_t part, const RunContext &context,
                        Step *step) {
   PartState &state = parts_[part];
   state.hedgeAt = TimePoint::max();
   if (state.done || liveAttempts(part) != 1)
     return;
-  if (!stagePool_->limiter.tryAcquire(slotRequest(part)))
+  if (!takeExtraSlot(part, step))
     return;
-  if (!stagePool_->budget.spend())
-    return releaseSlot(stagePool_, arrived_.organisation, step);
   for (const LiveAttempt &attempt : attempts_)
     if (attempt.id.stage == stage_ && attempt.id.part == part)
       state.excludedUpstreams.push_back(attempt.upstream->listed.name);
--- a/src/auburnspring/decision/upstream_selection.cpp
+++ b/src/auburnspring/decision/upstream_selection.cpp
@@ -52,7 +52,8 @@
 bool isEligible(const TrackedUpstream &upstream,
                 const SelectionCriteria &criteria) {
   return upstream.acceptsNewWork() && servesModel(upstream, criteria.model) &&
-         runsVersion(upstream, criteria.version);
+         runsVersion(upstream, criteria.version) &&
+         !(criteria.avoidStrictly && isAvoided(upstream, criteria));
 }
 
 bool isPreferred(const TrackedUpstream &upstream,
--- a/src/auburnspring/model/fake_upstream.cpp
+++ b/src/auburnspring/model/fake_upstream.cpp
@@ -157,8 +157,11 @@
 void FakeUpstream::run(const JobPtr &job) {
   job->startedAt = queue_->now();
   job->duration = drawDuration(job.get());
-  if (job->attempt.kind == StageKind::Generate)
+  if (job->attempt.kind == StageKind::Generate) {
+    if (withProbability(faults.pauseShare))
+      job->pause = faults.pause;
     scheduleStream(job);
+  }
   if (withProbability(faults.connectionLost)) {
     const bool beforeExecution = withProbability(0.5);
     return queue_->after(job->duration / 2, [this, job, beforeExecution] {
@@ -171,7 +174,7 @@
       });
     });
   }
-  queue_->after(job->duration,
+  queue_->after(job->duration + job->pause,
                 [this, job] { runOrDefer([this, job] { finish(job); }); });
 }
 
@@ -198,9 +201,11 @@
     const double fraction =
         static_cast<double>(offset + chunk - start) /
         static_cast<double>(std::max<std::size_t>(remaining, 1));
-    const Duration delay(
-        static_cast<std::int64_t>(static_cast<double>(job->duration.count()) *
-                                  std::min(fraction, 1.0) * 0.99));
+    const Duration pause = fraction > 0.5 ? job->pause : Duration(0);
+    const Duration delay =
+        pause + Duration(static_cast<std::int64_t>(
+                    static_cast<double>(job->duration.count()) *
+                    std::min(fraction, 1.0) * 0.99));
     const AttemptProgress progress{job->attempt.attempt, offset,
                                    fullText.substr(offset, chunk)};
     queue_->after(delay, [this, job, progress] {
--- a/src/auburnspring/model/simulation.cpp
+++ b/src/auburnspring/model/simulation.cpp
@@ -207,19 +207,16 @@
   HostSlot &slot = hosts_[index];
   const std::uint64_t incarnation = slot.incarnation;
   const AttemptId id = action.attempt;
-  slot.attempts[id] = {action.upstream, queue_.now()};
+  slot.attempts[id] = action.upstream;
   const auto deliverDelayed = [this, index, incarnation](const Event &event) {
     queue_.after(options_.hostToUpstream, [this, index, incarnation, event] {
       receiveAttemptEvent(index, incarnation, event);
     });
   };
-  // As in production, an attempt ends at its deadline or when its stream
-  // stalls.
+  // As in production, an attempt ends at its deadline, and silence ends none.
   queue_.at(action.deadline, [this, index, incarnation, id] {
-    endAttempt(index, incarnation, id, "timed out");
+    endAttempt(index, incarnation, id, FailureKind::ResponseLost, "timed out");
   });
-  if (action.kind == StageKind::Generate)
-    watchStream(index, incarnation, id);
   queue_.after(options_.hostToUpstream, [this, action, deliverDelayed, id] {
     const auto found = upstreams_.find(action.upstream);
     if (found != upstreams_.end() &&
@@ -238,50 +235,44 @@
   HostSlot &slot = hosts_[index];
   if (slot.incarnation != incarnation)
     return;
-  if (const auto *progress = std::get_if<AttemptProgress>(&event)) {
-    const auto found = slot.attempts.find(progress->attempt);
-    if (found != slot.attempts.end())
-      found->second.lastProgressAt = queue_.now();
-  } else if (const auto *succeeded = std::get_if<AttemptSucceeded>(&event)) {
+  if (const auto *succeeded = std::get_if<AttemptSucceeded>(&event))
     slot.attempts.erase(succeeded->attempt);
-  } else if (const auto *failed = std::get_if<AttemptFailed>(&event)) {
+  else if (const auto *failed = std::get_if<AttemptFailed>(&event))
     slot.attempts.erase(failed->attempt);
-  }
   deliver(index, incarnation, event);
 }
 
-void Simulation::watchStream(std::size_t index, std::uint64_t incarnation,
-                             const AttemptId &id) {
-  queue_.after(options_.streamStall, [this, index, incarnation, id] {
-    HostSlot &slot = hosts_[index];
-    const auto found = slot.attempts.find(id);
-    if (slot.incarnation != incarnation || found == slot.attempts.end())
-      return;
-    if (queue_.now() - found->second.lastProgressAt >= options_.streamStall)
-      return endAttempt(index, incarnation, id, "stream stalled");
-    watchStream(index, incarnation, id);
-  });
-}
-
 // Closing the connection also cancels the attempt at the upstream.
 void Simulation::endAttempt(std::size_t index, std::uint64_t incarnation,
-                            const AttemptId &id, const char *detail) {
+                            const AttemptId &id, FailureKind kind,
+                            const char *detail) {
   HostSlot &slot = hosts_[index];
-  if (slot.incarnation != incarnation || slot.attempts.count(id) == 0)
+  const auto found = slot.attempts.find(id);
+  if (slot.incarnation != incarnation || found == slot.attempts.end())
     return;
-  cancelAttempt(index, CancelAttempt{id});
-  receiveAttemptEvent(
-      index, incarnation,
-      AttemptFailed{id, FailureKind::ResponseLost, detail, Usage()});
+  cancelAtUpstream(found->second, id);
+  receiveAttemptEvent(index, incarnation,
+                      AttemptFailed{id, kind, detail, Usage()});
 }
 
+void Simulation::cancelAtUpstream(const std::string &upstream,
+                                  const AttemptId &id) {
+  queue_.after(options_.hostToUpstream,
+               [this, upstream, id] { upstreams_.at(upstream)->cancel(id); });
+}
+
+// The connection is closed, so that the attempt ends also if its upstream
+// doesn't respond.
 void Simulation::cancelAttempt(std::size_t index, const CancelAttempt &action) {
   const auto found = hosts_[index].attempts.find(action.attempt);
   if (found == hosts_[index].attempts.end())
     return;
-  queue_.after(options_.hostToUpstream,
-               [this, name = found->second.upstream, id = action.attempt] {
-                 upstreams_.at(name)->cancel(id);
+  cancelAtUpstream(found->second, action.attempt);
+  queue_.after(options_.hostToUpstream * 3,
+               [this, index, incarnation = hosts_[index].incarnation,
+                id = action.attempt] {
+                 endAttempt(index, incarnation, id, FailureKind::Cancelled,
+                            "cancelled");
                });
 }
 
--- a/src/auburnspring/scenario/scenario_runner.cpp
+++ b/src/auburnspring/scenario/scenario_runner.cpp
@@ -34,6 +34,15 @@
   return true;
 }
 
+bool readPause(const std::vector<std::string> &words,
+               FakeUpstream::Faults *faults) {
+  const std::optional<Duration> pause = parseDuration(words[3]);
+  if (!pause)
+    return false;
+  faults->pause = *pause;
+  return readShare(words[4], &faults->pauseShare);
+}
+
 } // namespace
 
 const ScenarioRunner::VerbEntry ScenarioRunner::verbs[] = {
@@ -264,7 +273,7 @@
   return false;
 }
 
-// upstream NAME|POOL-* FAULT [SHARE]
+// upstream NAME|POOL-* FAULT [SHARE], or upstream NAME|POOL-* pause T SHARE
 bool ScenarioRunner::upstream(const Words &words) {
   if (words.size() < 3)
     return false;
@@ -301,6 +310,8 @@
       valid = readShare(share, &faults.connectionLost);
     else if (command == "duplicate")
       valid = readShare(share, &faults.duplicate);
+    else if (command == "pause")
+      valid = words.size() == 5 && readPause(words, &faults);
     else
       valid = false;
     if (!valid)
