The rejection of one attempt ends no response that another works on

Cause: RequestRun::onFailed answered `rejected` at the first rejected attempt, also if another attempt of the part was running. What callers saw: `rejected`, a permanent failure, for a request that one upstream refuses as a hedge or replacement and another was about to complete. Change: the rejection counts only if no other attempt of the part is running. Evidence: request_run_silence_test, extended by Rejected, failed in three checks. Result: decision_test (103 cases) and at_most_once_test pass.

--- a/src/auburnspring/decision/request_run_retry.cpp
+++ b/src/auburnspring/decision/request_run_retry.cpp
@@ -81,7 +81,9 @@
                            !parts_[attempt.id.part].done;
   if (!stillNeeded)
     return;
-  if (event.kind == FailureKind::Rejected)
+  // The rejection of one attempt doesn't end a response on which another is at
+  // work.
+  if (event.kind == FailureKind::Rejected && liveAttempts(attempt.id.part) == 0)
     return reject(event.detail, context, step);
   if (attempt.atMostOnce && atMostOnceMayHaveRun_)
     return giveUp(absl::StrCat("the call to ", attempt.upstream->listed.name,
--- a/src/auburnspring/decision/request_run_silence_test.cpp
+++ b/src/auburnspring/decision/request_run_silence_test.cpp
@@ -134,10 +134,12 @@
   CHECK(count<StreamToCaller>(resumed) == 1);
 }
 
-// Guards against a response that ends because its replacement fails.
+// Guards against a response that ends because its replacement fails or is
+// rejected.
 TEST_CASE("a replacement that fails leaves the silent attempt in place") {
-  for (const FailureKind kind : {FailureKind::NotSent, FailureKind::Refused,
-                                 FailureKind::ResponseLost}) {
+  for (const FailureKind kind :
+       {FailureKind::NotSent, FailureKind::Refused, FailureKind::Rejected,
+        FailureKind::ResponseLost}) {
     SilenceFixture fixture(2);
     fixture.progress(fixture.first, 0, "abc ");
     const StartAttempt second = SilenceFixture::startOf(fixture.wait(Silence));
