Stand-in engines have a version and can be silent in mid-generation

Cause: streams of several versions and silent engines were shown on the model only, not on processes. What callers saw: nothing; no logic of the product changes. Evidence: scripts/process_test: a stream with 1.7 s of silence is complete and by one version; one whose version is killed ends as incomplete and begins what that version writes.

--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -39,11 +39,11 @@
 
 # Adds an upstream to the list that fleet_publish_hosts publishes.
 fleet_list=()
-fleet_upstream() { # NAME POOL SLOTS DATA_CENTRE [STATE]
+fleet_upstream() { # NAME POOL SLOTS DATA_CENTRE [STATE] [VERSION]
   fleet_list+=("$(jq -nc --arg n "$1" --arg p "$2" --argjson s "$3" \
-    --arg d "$4" --arg st "${5:-live}" \
+    --arg d "$4" --arg st "${5:-live}" --arg v "${6:-}" \
     --arg a "127.0.0.1:$(fleet_port "$1")" \
-    '{name:$n,pool:$p,slots:$s,data_centre:$d,state:$st,address:$a,incarnation:"1"}')")
+    '{name:$n,pool:$p,slots:$s,data_centre:$d,state:$st,address:$a,incarnation:"1",version:$v}')")
 }
 
 fleet_publish_hosts() {
--- a/stand_ins/common/stand_in_options.cpp
+++ b/stand_ins/common/stand_in_options.cpp
@@ -16,7 +16,9 @@
   fmt::print(code == 0 ? stdout : stderr,
              "{}\n\n  --listen IP:PORT   address; port 0 binds a free port\n"
              "  --port-file FILE   file that receives the bound port\n"
-             "  --set NAME=VALUE   sets one of the values above\n",
+             "  --set NAME=VALUE   sets one of the values above\n"
+             "  --version V, --silent-ms N, --silent-share P\n"
+             "                     set version, silent_ms, silent_share\n",
              usage);
   std::exit(code);
 }
@@ -33,6 +35,17 @@
   std::exit(UsageExitCode);
 }
 
+double StandInOptions::share(const std::string &name, double fallback) const {
+  const auto found = values.find(name);
+  if (found == values.end())
+    return fallback;
+  double value = 0;
+  if (absl::SimpleAtod(found->second, &value) && value >= 0 && value <= 1)
+    return value;
+  fmt::print(stderr, "--set {}: expected a share from 0 to 1\n", name);
+  std::exit(UsageExitCode);
+}
+
 std::string StandInOptions::text(const std::string &name,
                                  const std::string &fallback) const {
   const auto found = values.find(name);
@@ -44,6 +57,9 @@
       {"listen", required_argument, nullptr, 'l'},
       {"port-file", required_argument, nullptr, 'p'},
       {"set", required_argument, nullptr, 's'},
+      {"version", required_argument, nullptr, 'v'},
+      {"silent-ms", required_argument, nullptr, 'm'},
+      {"silent-share", required_argument, nullptr, 'r'},
       {"help", no_argument, nullptr, 'h'},
       {nullptr, 0, nullptr, 0}};
   StandInOptions options;
@@ -58,6 +74,12 @@
       options.portFile = value;
     else if (found == 's' && equals != std::string::npos)
       options.values[value.substr(0, equals)] = value.substr(equals + 1);
+    else if (found == 'v')
+      options.values["version"] = value;
+    else if (found == 'm')
+      options.values["silent_ms"] = value;
+    else if (found == 'r')
+      options.values["silent_share"] = value;
     else
       exitWithUsage(usage, found == 'h' ? 0 : UsageExitCode);
   }
--- a/stand_ins/common/stand_in_options.h
+++ b/stand_ins/common/stand_in_options.h
@@ -19,11 +19,14 @@
   /// The value of `name`, or `fallback` if it is not set. A value that is not
   /// a number ends the process.
   std::int64_t number(const std::string &name, std::int64_t fallback) const;
+  /// A share from 0 to 1; any other value ends the process.
+  double share(const std::string &name, double fallback) const;
   std::string text(const std::string &name, const std::string &fallback) const;
 };
 
-/// Parses --listen, --port-file and --set NAME=VALUE; prints `usage` and ends
-/// the process on any other argument.
+/// Parses --listen, --port-file, --set NAME=VALUE and the flags of upstreams
+/// (--version, --silent-ms, --silent-share), which set the values of these
+/// names; prints `usage` and ends the process on any other argument.
 StandInOptions parseStandInOptions(int argc, char **argv, const char *usage);
 
 } // namespace standin
--- a/stand_ins/common/upstream_stand_in.cpp
+++ b/stand_ins/common/upstream_stand_in.cpp
@@ -10,7 +10,7 @@
 
 UpstreamStandIn::UpstreamStandIn(const StandInOptions &options)
     : incarnation_(options.text("incarnation", "1")),
-      slots_(options.number("slots", 8)),
+      version_(options.text("version", "")), slots_(options.number("slots", 8)),
       maxQueued_(options.number("max_queued", 256)),
       reportLag_(options.number("report_lag_ms", 200)) {}
 
@@ -88,7 +88,8 @@
   const std::lock_guard<std::mutex> lock(mutex_);
   return {{"executed", executed_},
           {"running", running_},
-          {"queued", queue_.size()}};
+          {"queued", queue_.size()},
+          {"version", version_}};
 }
 
 } // namespace standin
--- a/stand_ins/common/upstream_stand_in.h
+++ b/stand_ins/common/upstream_stand_in.h
@@ -30,6 +30,7 @@
   void releaseSlot();
 
   const std::string &incarnation() const { return incarnation_; }
+  const std::string &version() const { return version_; }
 
 protected:
   std::mutex mutex_;
@@ -40,6 +41,7 @@
   Reply loadReport();
 
   std::string incarnation_;
+  std::string version_;
   std::int64_t slots_;
   std::int64_t maxQueued_;
   std::chrono::milliseconds reportLag_;
--- a/stand_ins/engine.cpp
+++ b/stand_ins/engine.cpp
@@ -1,7 +1,8 @@
 // Simulates a model engine: streamed completions with priority, cancellation by
 // disconnect, resumption after text already sent, a prompt-prefix cache of
-// limited size, cache events that arrive late and with gaps, and orders whose
-// fencing token is checked or ignored.
+// limited size, cache events that arrive late and with gaps, orders whose
+// fencing token is checked or ignored, and silence in the middle of a
+// generation.
 #include "common/upstream_stand_in.h"
 
 #include "auburnspring/base/digest.h"
@@ -10,7 +11,9 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <atomic>
 #include <chrono>
+#include <cmath>
 #include <deque>
 #include <list>
 #include <thread>
@@ -26,13 +29,18 @@
 constexpr std::size_t BytesPerToken = 4;
 constexpr std::size_t PrefixBytes = 256;
 constexpr std::size_t MaxEvents = 1000;
+constexpr auto PollInterval = std::chrono::milliseconds(5);
 // One in this many cache events is never published.
 constexpr std::uint64_t DroppedEventInterval = 7;
 
-// The n-th token of the completion of a prompt; the same on every engine.
-std::string tokenAt(const std::string &prompt, std::size_t n) {
+// The n-th token of the completion of a prompt; the same on every engine of one
+// software version.
+std::string tokenAt(const std::string &prompt, const std::string &version,
+                    std::size_t n) {
+  const std::uint64_t seed =
+      version.empty() ? 0 : auburnspring::stableHash(version);
   const std::uint64_t hash =
-      auburnspring::stableHash(prompt, static_cast<std::uint64_t>(n));
+      auburnspring::stableHash(prompt, seed + static_cast<std::uint64_t>(n));
   return fmt::format("{:03x} ", hash & 0xfff);
 }
 
@@ -45,7 +53,9 @@
         completionTokens_(options.number("answer_tokens", 24)),
         cacheSize_(static_cast<std::size_t>(options.number("cache", 16))),
         eventLag_(options.number("event_lag_ms", 500)),
-        checksFencing_(options.number("checks_fencing", 1) != 0) {}
+        checksFencing_(options.number("checks_fencing", 1) != 0),
+        silence_(options.number("silent_ms", 0)),
+        silentShare_(options.share("silent_share", 0)) {}
 
   Reply execute(const Request &request, const json &body) override {
     const std::string prompt = body.value("prompt", "");
@@ -102,13 +112,18 @@
         static_cast<std::int64_t>(resumeText.size() / BytesPerToken);
     std::size_t offset = resumeText.size();
     std::int64_t sent = 0;
+    const std::int64_t silentAt =
+        drawSilence() ? first + (tokenCount - first) / 2 : -1;
     for (std::int64_t n = first; n < tokenCount; ++n) {
       std::this_thread::sleep_for(std::chrono::milliseconds(decodeMillis_));
+      if (n == silentAt)
+        beSilent(peerClosed);
       while (faults().isFrozen() && !isStopping())
-        std::this_thread::sleep_for(std::chrono::milliseconds(5));
+        std::this_thread::sleep_for(PollInterval);
       if (isStopping() || !out.good() || peerClosed())
         return -1;
-      const std::string token = tokenAt(prompt, static_cast<std::size_t>(n));
+      const std::string token =
+          tokenAt(prompt, version(), static_cast<std::size_t>(n));
       const json event = {
           {"attempt", attempt},
           {"offset", offset},
@@ -120,6 +135,19 @@
     return sent;
   }
 
+  // True for an evenly spread share of the generations.
+  bool drawSilence() {
+    const auto number = static_cast<double>(++generations_);
+    return std::floor(number * silentShare_) >
+           std::floor((number - 1) * silentShare_);
+  }
+
+  void beSilent(const std::function<bool()> &peerClosed) {
+    const Clock::time_point end = Clock::now() + silence_;
+    while (Clock::now() < end && !isStopping() && !peerClosed())
+      std::this_thread::sleep_for(PollInterval);
+  }
+
   std::int64_t touchPrefixCache(const std::string &prompt,
                                 std::int64_t tokens) {
     const std::uint64_t prefix =
@@ -193,6 +221,9 @@
   std::size_t cacheSize_;
   std::chrono::milliseconds eventLag_;
   bool checksFencing_;
+  std::chrono::milliseconds silence_;
+  double silentShare_;
+  std::atomic<std::uint64_t> generations_{0};
   std::mutex cacheMutex_;
   std::list<std::uint64_t> cache_;
   std::deque<CacheEvent> events_;
@@ -209,7 +240,9 @@
       "stand_in_engine - a model engine\n"
       "values: prefill_us_per_token (200), decode_ms (5), answer_tokens (24), "
       "cache (16 prefixes), event_lag_ms (500), checks_fencing (1), slots (8), "
-      "max_queued (256), report_lag_ms (200), incarnation (1)");
+      "max_queued (256), report_lag_ms (200), incarnation (1), version (none; "
+      "the text depends on it), silent_ms (0; silence in the middle of a "
+      "generation), silent_share (0; of the generations, up to 1)");
   EngineStandIn standIn(options);
   return standIn.run(options);
 }
--- a/stand_ins/pool.cpp
+++ b/stand_ins/pool.cpp
@@ -48,7 +48,7 @@
       argc, argv,
       "stand_in_pool - an encoder, retriever or reranker\n"
       "values: busy_ms (10), slots (8), max_queued (256), report_lag_ms (200), "
-      "incarnation (1)");
+      "incarnation (1), version (none)");
   PoolStandIn standIn(options);
   return standIn.run(options);
 }
--- a/stand_ins/service.cpp
+++ b/stand_ins/service.cpp
@@ -59,7 +59,7 @@
       argc, argv,
       "stand_in_service - a plain service that counts executions by key\n"
       "values: busy_ms (20), slots (8), max_queued (256), report_lag_ms (200), "
-      "incarnation (1)");
+      "incarnation (1), version (none)");
   ServiceStandIn standIn(options);
   return standIn.run(options);
 }
