--- a/include/auburnspring/decision/request_run.h
+++ b/include/auburnspring/decision/request_run.h
@@ -3,8 +3,10 @@
 
 #include "auburnspring/decision/run_context.h"
 #include "auburnspring/decision/step.h"
+#include "auburnspring/decision/upstream_selection.h"
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -44,6 +46,14 @@
   void collectUpstreams(std::vector<std::string> *names) const;
 
 private:
+  /// A deadline is unattainable if even a fast run of the remaining stages
+  /// would miss it.
+  static constexpr double UnattainableQuantile = 0.1;
+  /// Silence of all attempts of a generation after which another one is started
+  /// beside them. Sound upstreams are silent for a second or so at times.
+  static constexpr Duration SilenceBeforeReplacement =
+      std::chrono::milliseconds(1500);
+
   struct LiveAttempt {
     AttemptId id;
     TrackedUpstreamPtr upstream;
@@ -55,17 +65,32 @@
     std::string receivedText;
     /// Bytes of the stream are missing; only the final text is used.
     bool hasGap = false;
+    /// Start or last output of a generation; none for other attempts.
+    std::optional<TimePoint> lastOutputAt;
   };
 
   struct PartState {
     bool done = false;
     std::uint32_t attempts = 0;
+    /// Attempts that were started beside silent ones.
+    std::uint32_t replacements = 0;
     std::string result;
     /// Text received from failed attempts; the next attempt continues after
     /// it.
     std::string resumeText;
+    /// Software version that wrote the first output. No other version may add
+    /// to it; none while there is no output.
+    std::optional<std::string> version;
     std::vector<std::string> excludedUpstreams;
+    /// The next attempt may go to no excluded upstream, even if there is no
+    /// other.
+    bool excludesStrictly = false;
     TimePoint hedgeAt = TimePoint::max();
+    /// When all attempts of a generation have been silent for too long.
+    TimePoint silentAt = TimePoint::max();
+    /// Set while a replacement runs beside silent attempts: the first attempt
+    /// with more text than this many bytes goes on, and the others end.
+    std::optional<std::size_t> contestedBytes;
   };
 
   enum class Phase { Claiming, AwaitingClaimant, Running, Finished };
@@ -74,6 +99,8 @@
   const Stage &stage() const { return route().stages[stage_]; }
   bool isAtMostOnceStage() const { return route().runsAtMostOnce(stage()); }
   static void cancel(LiveAttempt *attempt, Step *step);
+  static void releaseSlot(const std::shared_ptr<PoolState> &pool,
+                          const std::string &organisation, Step *step);
   std::shared_ptr<const Pool> pool(const std::string &name,
                                    const RunContext &context) const;
 
@@ -92,6 +119,11 @@
   SlotRequest slotRequest(std::uint32_t part) const;
   void dispatch(std::uint32_t part, const RunContext &context, Step *step);
   StartAttempt makeStartAttempt(const LiveAttempt &attempt) const;
+  SelectionCriteria selectionCriteria(const PartState &part,
+                                      const RunContext &context) const;
+  bool canContinue(const PartState &part, const RunContext &context) const;
+  std::string noUpstreamReason(const PartState &part) const;
+  void bindToVersion(const LiveAttempt &begun, Step *step);
   void setHedge(PartState *part, TimePoint now) const;
   LiveAttempt *findAttempt(const AttemptId &id);
   LiveAttempt endAttempt(LiveAttempt *attempt, Step *step);
@@ -103,6 +135,10 @@
   void retryPart(const LiveAttempt &attempt, const RunContext &context,
                  Step *step);
   void hedge(std::uint32_t part, const RunContext &context, Step *step);
+  bool takeExtraSlot(std::uint32_t part, Step *step);
+  Duration collectSilent(std::uint32_t part, TimePoint now);
+  void replaceSilent(std::uint32_t part, const RunContext &context, Step *step);
+  void settleContest(const LiveAttempt &winner, Step *step);
   void cancelPart(std::uint32_t part, Step *step);
   void cancelAll(Step *step);
   void complete(const RunContext &context, Step *step);
--- a/src/auburnspring/decision/request_run.cpp
+++ b/src/auburnspring/decision/request_run.cpp
@@ -1,7 +1,6 @@
 #include "auburnspring/decision/request_run.h"
 
 #include "auburnspring/base/digest.h"
-#include "auburnspring/decision/upstream_selection.h"
 
 #include <absl/strings/str_cat.h>
 #include <nlohmann/json.hpp>
@@ -12,39 +11,18 @@
 
 namespace {
 
-constexpr std::uint32_t MaxAttempts = 4;
 // An at-most-once attempt may end this long after the caller's deadline, so
 // that its outcome can be recorded.
 constexpr Duration AtMostOnceGrace = std::chrono::seconds(30);
-constexpr Duration MinRetryAfter = std::chrono::milliseconds(200);
-constexpr Duration MinHedgeDelay = std::chrono::milliseconds(10);
-constexpr double MinGenerateHedgeWeight = 0.8;
 // Sent to upstreams in place of the route's priority. Route owners set those,
 // so they rank requests of one organisation only; an engine that applied them
 // across organisations would defeat the sharing by weight.
 constexpr std::int64_t NeutralPriority = 5;
-// A deadline is unattainable if even a fast run of the remaining stages would
-// miss it.
-constexpr double UnattainableQuantile = 0.1;
-
-bool provesNotRun(FailureKind kind) {
-  return kind == FailureKind::NotSent || kind == FailureKind::Refused ||
-         kind == FailureKind::Leaving || kind == FailureKind::Rejected;
-}
 
 bool startsWith(const std::string &text, const std::string &prefix) {
   return text.compare(0, prefix.size(), prefix) == 0;
 }
 
-void releaseSlot(const std::shared_ptr<PoolState> &pool,
-                 const std::string &organisation, Step *step) {
-  std::vector<SlotRequest> granted;
-  pool->limiter.release(organisation, &granted);
-  for (const SlotRequest &next : granted)
-    step->postEvent(SlotGranted{next.request, next.stage, next.part,
-                                next.organisation, pool});
-}
-
 } // namespace
 
 RequestRun::RequestRun(RequestArrived arrived,
@@ -160,6 +138,15 @@
            context, step);
 }
 
+void RequestRun::releaseSlot(const std::shared_ptr<PoolState> &pool,
+                             const std::string &organisation, Step *step) {
+  std::vector<SlotRequest> granted;
+  pool->limiter.release(organisation, &granted);
+  for (const SlotRequest &next : granted)
+    step->postEvent(SlotGranted{next.request, next.stage, next.part,
+                                next.organisation, pool});
+}
+
 void RequestRun::onSlotGranted(const SlotGranted &granted,
                                const RunContext &context, Step *step) {
   const bool stillNeeded =
@@ -170,6 +157,35 @@
   dispatch(granted.part, context, step);
 }
 
+SelectionCriteria
+RequestRun::selectionCriteria(const PartState &part,
+                              const RunContext &context) const {
+  SelectionCriteria criteria;
+  criteria.model = stage().model;
+  if (stage().kind == StageKind::Generate)
+    criteria.prompt = arrived_.body;
+  criteria.dataCentre = context.dataCentre;
+  criteria.avoid = part.excludedUpstreams;
+  criteria.avoidStrictly = part.excludesStrictly;
+  if (part.version)
+    criteria.version = *part.version;
+  return criteria;
+}
+
+bool RequestRun::canContinue(const PartState &part,
+                             const RunContext &context) const {
+  const std::shared_ptr<const Pool> found = pool(stage().pool, context);
+  return found &&
+         hasCandidate(found->upstreams, selectionCriteria(part, context));
+}
+
+std::string RequestRun::noUpstreamReason(const PartState &part) const {
+  const std::string version =
+      part.version ? absl::StrCat(" of version \"", *part.version, "\"") : "";
+  return absl::StrCat("no upstream", version, " of pool ", stage().pool,
+                      " accepts new requests");
+}
+
 // The caller holds a slot, whose ownership passes to the attempt. Deadline and
 // upstream are checked here, immediately before the send, because a SlotGranted
 // event may be handled long after it was queued.
@@ -180,22 +196,16 @@
   const std::shared_ptr<const Pool> found = pool(stage().pool, context);
   TrackedUpstreamPtr upstream;
   const bool late = cannotFinish(now, startQuantile());
-  if (found && !late) {
-    SelectionCriteria criteria;
-    criteria.model = stage().model;
-    if (stage().kind == StageKind::Generate)
-      criteria.prompt = arrived_.body;
-    criteria.dataCentre = context.dataCentre;
-    criteria.avoid = state.excludedUpstreams;
-    upstream = chooseUpstream(found->upstreams, criteria, now, &context.random);
-  }
+  if (found && !late)
+    upstream =
+        chooseUpstream(found->upstreams, selectionCriteria(state, context), now,
+                       &context.random);
   if (!upstream) {
     releaseSlot(stagePool_, arrived_.organisation, step);
     if (liveAttempts(part) > 0)
       return;
     return giveUp(late ? "the remaining stages can't finish within the deadline"
-                       : absl::StrCat("no upstream of pool ", stage().pool,
-                                      " accepts new requests"),
+                       : noUpstreamReason(state),
                   context, step);
   }
   LiveAttempt attempt;
@@ -206,6 +216,10 @@
   attempt.startedAt = now;
   attempt.atMostOnce = isAtMostOnceStage();
   attempt.receivedText = state.resumeText;
+  if (stage().kind == StageKind::Generate) {
+    attempt.lastOutputAt = now;
+    state.silentAt = now + SilenceBeforeReplacement;
+  }
   ++attempt.upstream->inFlight;
   ++possiblyRunAttempts_;
   atMostOnceMayHaveRun_ = atMostOnceMayHaveRun_ || attempt.atMostOnce;
@@ -217,23 +231,6 @@
   attempts_.push_back(std::move(attempt));
 }
 
-void RequestRun::setHedge(PartState *part, TimePoint now) const {
-  part->hedgeAt = TimePoint::max();
-  const double weight = route().attainmentWeight;
-  const bool generate = stage().kind == StageKind::Generate;
-  const bool hedgeAllowed =
-      generate ? weight >= MinGenerateHedgeWeight : weight > 0;
-  const bool first = part->attempts == 1;
-  if (!first || !hedgeAllowed || isAtMostOnceStage() || arrived_.stream)
-    return;
-  const Duration tail = liveRoute_->stageLatencies[stage_]->quantile(0.95);
-  const double delayFactor = 2 - weight;
-  part->hedgeAt =
-      now + std::max(MinHedgeDelay,
-                     Duration(static_cast<std::int64_t>(
-                         static_cast<double>(tail.count()) * delayFactor)));
-}
-
 StartAttempt RequestRun::makeStartAttempt(const LiveAttempt &attempt) const {
   StartAttempt start;
   start.attempt = attempt.id;
@@ -316,6 +313,7 @@
   parts_[part].done = true;
   parts_[part].result = std::move(text);
   parts_[part].hedgeAt = TimePoint::max();
+  parts_[part].silentAt = TimePoint::max();
   cancelPart(part, step);
   const bool all = std::all_of(parts_.begin(), parts_.end(),
                                [](const PartState &p) { return p.done; });
@@ -353,99 +351,16 @@
   respond(std::move(response), context, step);
 }
 
-void RequestRun::recordFailure(const LiveAttempt &attempt,
-                               const AttemptFailed &event, Step *step) const {
-  switch (event.kind) {
-  case FailureKind::NotSent:
-  case FailureKind::UpstreamFailed:
-  case FailureKind::ResponseLost:
-    recordAttemptFailure(attempt.upstream.get(), step->now.steady);
-    break;
-  case FailureKind::Refused:
-    attempt.pool->limiter.recordOverload(step->now.steady);
-    break;
-  case FailureKind::Leaving:
-    step->postEvent(LeavingDetected{
-        {attempt.upstream->listed.name, attempt.upstream->listed.incarnation}});
-    break;
-  case FailureKind::Rejected:
-  case FailureKind::Cancelled:
-    break;
-  }
-}
-
-void RequestRun::onFailed(const AttemptFailed &event, const RunContext &context,
-                          Step *step) {
-  LiveAttempt *live = findAttempt(event.attempt);
-  if (live == nullptr)
-    return;
-  const LiveAttempt attempt = endAttempt(live, step);
-  ++costOf(attempt.id).failures;
-  recordCost(attempt, event.usage, false);
-  recordFailure(attempt, event, step);
-  if (provesNotRun(event.kind)) {
-    --possiblyRunAttempts_;
-    if (attempt.atMostOnce)
-      atMostOnceMayHaveRun_ = false;
-  }
-  if (responded_ && attempt.atMostOnce)
-    return settleClaim(context, step);
-  const bool stillNeeded = !responded_ && !attempt.cancelled &&
-                           attempt.id.stage == stage_ &&
-                           !parts_[attempt.id.part].done;
-  if (!stillNeeded)
-    return;
-  if (event.kind == FailureKind::Rejected)
-    return reject(event.detail, context, step);
-  if (attempt.atMostOnce && atMostOnceMayHaveRun_)
-    return giveUp(absl::StrCat("the call to ", attempt.upstream->listed.name,
-                               " failed: ", event.detail),
-                  context, step);
-  retryPart(attempt, context, step);
-}
-
-void RequestRun::retryPart(const LiveAttempt &attempt,
-                           const RunContext &context, Step *step) {
-  PartState &state = parts_[attempt.id.part];
-  state.excludedUpstreams.push_back(attempt.upstream->listed.name);
-  if (!attempt.hasGap && attempt.receivedText.size() > state.resumeText.size())
-    state.resumeText = attempt.receivedText;
-  if (liveAttempts(attempt.id.part) > 0)
-    return;
-  const bool allowed = state.attempts < MaxAttempts &&
-                       !cannotFinish(step->now.steady, UnattainableQuantile) &&
-                       stagePool_->budget.spend();
-  if (!allowed)
-    return giveUp(absl::StrCat("stage ", stage().name, " failed at ",
-                               attempt.upstream->listed.name),
-                  context, step);
-  ++costOf(attempt.id).retries;
-  requestSlot(attempt.id.part, context, step);
-}
-
-void RequestRun::onProgress(const AttemptProgress &event, Step *step) {
-  LiveAttempt *attempt = findAttempt(event.attempt);
-  if (attempt == nullptr || attempt->cancelled || responded_)
-    return;
-  if (attempt->hasGap || event.offset != attempt->receivedText.size()) {
-    attempt->hasGap = true;
-    return;
-  }
-  attempt->receivedText += event.text;
-  const bool last = attempt->id.stage + 1U == route().stages.size();
-  if (!arrived_.stream || !last ||
-      attempt->receivedText.size() <= streamedBytes_)
-    return;
-  step->addAction(StreamToCaller{arrived_.request,
-                                 attempt->receivedText.substr(streamedBytes_)});
-  streamedBytes_ = attempt->receivedText.size();
-}
-
 // An at-most-once attempt is not cancelled, since its outcome must be recorded.
 void RequestRun::cancel(LiveAttempt *attempt, Step *step) {
   if (attempt->cancelled || attempt->atMostOnce)
     return;
   attempt->cancelled = true;
+  const bool silent =
+      attempt->lastOutputAt &&
+      step->now.steady - *attempt->lastOutputAt >= SilenceBeforeReplacement;
+  if (silent)
+    recordAttemptFailure(attempt->upstream.get(), step->now.steady);
   step->addAction(CancelAttempt{attempt->id});
 }
 
@@ -475,75 +390,12 @@
     return requestClaim(true, context, step);
   if (phase_ != Phase::Running)
     return;
-  for (std::uint32_t part = 0; part < parts_.size() && !responded_; ++part)
+  for (std::uint32_t part = 0; part < parts_.size() && !responded_; ++part) {
     if (now >= parts_[part].hedgeAt)
       hedge(part, context, step);
-}
-
-void RequestRun::hedge(std::uint32_t part, const RunContext &context,
-                       Step *step) {
-  PartState &state = parts_[part];
-  state.hedgeAt = TimePoint::max();
-  if (state.done || liveAttempts(part) != 1)
-    return;
-  if (!stagePool_->limiter.tryAcquire(slotRequest(part)))
-    return;
-  if (!stagePool_->budget.spend())
-    return releaseSlot(stagePool_, arrived_.organisation, step);
-  for (const LiveAttempt &attempt : attempts_)
-    if (attempt.id.stage == stage_ && attempt.id.part == part)
-      state.excludedUpstreams.push_back(attempt.upstream->listed.name);
-  ++liveRoute_->counters->stages[stage_].hedges;
-  dispatch(part, context, step);
-}
-
-Duration RequestRun::retryAfterDelay(const RunContext &context) const {
-  const Duration wait = std::max(MinRetryAfter, expectedWait(context));
-  std::uniform_real_distribution<double> jitter(0.8, 1.6);
-  return Duration(static_cast<std::int64_t>(static_cast<double>(wait.count()) *
-                                            jitter(context.random)));
-}
-
-void RequestRun::giveUp(const std::string &reason, const RunContext &context,
-                        Step *step) {
-  RespondToCaller refusal;
-  refusal.outcome = Outcome::NotRun;
-  if (possiblyRunAttempts_ > 0)
-    refusal.outcome = Outcome::Incomplete;
-  if (atMostOnceMayHaveRun_ || otherHostMayHaveRun_ || mayHaveRunEarlier())
-    refusal.outcome = Outcome::Unknown;
-  refusal.reason = reason;
-  refusal.retryAfter = retryAfterDelay(context);
-  respond(std::move(refusal), context, step);
-}
-
-void RequestRun::reject(const std::string &reason, const RunContext &context,
-                        Step *step) {
-  RespondToCaller rejected;
-  rejected.outcome = Outcome::Rejected;
-  rejected.reason = reason;
-  rejected.permanent = true;
-  respond(std::move(rejected), context, step);
-}
-
-void RequestRun::respond(RespondToCaller response, const RunContext &context,
-                         Step *step) {
-  responded_ = true;
-  phase_ = Phase::Finished;
-  ledgerPollAt_ = TimePoint::max();
-  if (claimPending_ && context.ledger.cancelClaim(arrived_.request, step))
-    claimPending_ = false;
-  if (stagePool_)
-    stagePool_->limiter.removeQueued(arrived_.request);
-  cancelAll(step);
-  const bool atMostOnceLive =
-      std::any_of(attempts_.begin(), attempts_.end(),
-                  [](const LiveAttempt &a) { return a.atMostOnce; });
-  if (!atMostOnceLive)
-    settleClaim(context, step);
-  ++liveRoute_->counters->outcomes[static_cast<std::size_t>(response.outcome)];
-  response.request = arrived_.request;
-  step->addAction(std::move(response));
+    if (now >= parts_[part].silentAt)
+      replaceSilent(part, context, step);
+  }
 }
 
 StageCost &RequestRun::costOf(const AttemptId &id) const {
@@ -570,7 +422,7 @@
     return TimePoint::max();
   TimePoint next = std::min(deadline_, ledgerPollAt_);
   for (const PartState &part : parts_)
-    next = std::min(next, part.hedgeAt);
+    next = std::min({next, part.hedgeAt, part.silentAt});
   return next;
 }
 
--- a/src/auburnspring/store/store_test.cpp
+++ b/src/auburnspring/store/store_test.cpp
@@ -121,6 +121,31 @@
   REQUIRE(list.ok());
   CHECK(list->upstreams.front().leaving);
   CHECK(list->upstreams.front().slots == 4);
+  CHECK(list->upstreams.front().version.empty());
   CHECK_FALSE(parseHostList("{}").ok());
   CHECK_FALSE(parseHostList("").ok());
 }
+
+TEST_CASE("an entry of the host list may carry a software version") {
+  const auto list =
+      parseHostList(R"({"version":3,"hosts":[{"name":"e1","pool":"engines",)"
+                    R"("address":"127.0.0.1:9","version":"2.1"}]})");
+  REQUIRE(list.ok());
+  CHECK(list->upstreams.front().version == "2.1");
+  CHECK_FALSE(
+      parseHostList(R"({"version":3,"hosts":[{"name":"e1","pool":"engines",)"
+                    R"("address":"127.0.0.1:9","version":2}]})")
+          .ok());
+}
+
+// Guards against calls that wait for good for a server that accepts connections
+// and never responds.
+TEST_CASE("a call without a response ends at its timeout") {
+  Poco::Net::ServerSocket server(Poco::Net::SocketAddress("127.0.0.1", 0));
+  HttpCall call;
+  call.responseTimeout = std::chrono::milliseconds(200);
+  const auto begin = std::chrono::steady_clock::now();
+  const auto response = callHttp({"127.0.0.1", server.address().port()}, call);
+  CHECK(response.status().code() == absl::StatusCode::kDataLoss);
+  CHECK(std::chrono::steady_clock::now() - begin < std::chrono::seconds(1));
+}
--- a/src/auburnspring/upstream/attempt_runner.cpp
+++ b/src/auburnspring/upstream/attempt_runner.cpp
@@ -97,9 +97,6 @@
     Poco::Net::HTTPClientSession session(socket);
     session.setKeepAlive(false);
     const bool isStream = attempt_.kind == StageKind::Generate;
-    const Duration left = remaining(attempt_.deadline);
-    session.setTimeout(toTimespan(
-        isStream ? std::min(left, options_.streamIdleTimeout) : left));
     Poco::Net::HTTPRequest request(Poco::Net::HTTPRequest::HTTP_POST,
                                    attemptPath(attempt_.kind),
                                    Poco::Net::HTTPMessage::HTTP_1_1);
