Resumptions follow their pool; origins are kept where streams may resume

Cause: found on reading the merged code. A stream whose route had moved to another pool was resumed there if the version's name was the same; streams that may not be resumed were announced as well; a broken stream dropped stage results that a second attempt had not used. What callers saw: by reading, events of two pools in one stream after a change of configuration; else messages and memory for nothing. Change: such a resumption is refused (pool_left_route); only resumable streams are recorded; held results are used. Result: one origin for each stream that can go on.

--- a/src/auburnspring/serving/active_request_attempts.cpp
+++ b/src/auburnspring/serving/active_request_attempts.cpp
@@ -340,7 +340,7 @@
   if (!isSuccess && hasLiveAttempt())
     return;
   if (step == RetryDecision::RetryElsewhere) {
-    if (inputsGone || (!plan_.stages().empty() && streamStarted_))
+    if (inputsGone || needsStagesAgain())
       return rerunStages(attempt);
     return dispatch();
   }
--- a/src/auburnspring/serving/active_request_resume.cpp
+++ b/src/auburnspring/serving/active_request_resume.cpp
@@ -67,10 +67,8 @@
   const bool isPoolOfRoute = std::any_of(
       route_->pools.begin(), route_->pools.end(),
       [&](const PoolShare &share) { return share.pool == origin.pool; });
-  if (isPoolOfRoute) {
-    poolName_ = origin.pool;
-    pool_ = table_->pool(poolName_);
-  }
+  poolName_ = origin.pool;
+  pool_ = table_->pool(poolName_);
   softwareVersion_ = origin.softwareVersion;
   logEvent(LogLevel::Info, "stream_origin_resolved",
            {{"id", request_.id},
@@ -80,13 +78,16 @@
             {"version", origin.softwareVersion},
             {"source", std::string(source)},
             {"waited_ms", toMillis(steadyNow() - exchange_->receivedAt)}});
+  // A configuration has moved the route to another pool since.
+  if (!isPoolOfRoute)
+    return refuse(503, "pool_left_route");
   if (selectUpstream({}).engine == nullptr)
     return refuseWithoutUpstream();
   startStages();
 }
 
 void ActiveRequest::recordOrigin(const UpstreamState &upstream) {
-  if (!route_->isStream)
+  if (!route_->isStream || !route_->isResumable)
     return;
   const std::string &id =
       request_.resumedId.empty() ? request_.id : request_.resumedId;
