--- a/include/auburnspring/serving/active_request.h
+++ b/include/auburnspring/serving/active_request.h
@@ -35,6 +35,9 @@
   void endForShutdown();
 
 private:
+  /// No attempt is started with less time left than this.
+  static constexpr Duration MinAttemptTime = std::chrono::milliseconds(10);
+
   // Arrival.
   bool admit();
   void chooseUpstreamPool();
--- a/src/auburnspring/serving/active_request_attempts.cpp
+++ b/src/auburnspring/serving/active_request_attempts.cpp
@@ -2,7 +2,6 @@
 
 #include "auburnspring/base/clock.h"
 #include "auburnspring/base/log.h"
-#include "auburnspring/decision/stall_policy.h"
 #include "auburnspring/decision/upstream_health.h"
 #include "auburnspring/serving/upstream_statements.h"
 
@@ -12,16 +11,6 @@
 
 namespace {
 
-/// No attempt is started with less time left than this.
-constexpr Duration MinAttemptTime = std::chrono::milliseconds(10);
-/// The hedge delay is this multiple of the upstream's smoothed latency, at
-/// least MinHedgeDelay, and otherwise at most half the latency target and a
-/// third of the time left.
-constexpr std::int64_t HedgeFactor = 3;
-constexpr Duration MinHedgeDelay = std::chrono::milliseconds(45);
-/// Once a second upstream of a stream has sent its head, it runs the request:
-/// the first one is left after this time, unless it brings an event.
-constexpr Duration MaxStreamOverlap = std::chrono::milliseconds(250);
 /// Unsent bytes at which the stream to a slow caller is aborted.
 constexpr std::size_t MaxPendingBytes = 2 << 20;
 /// Maximum size in bytes of a response body, which is buffered before it is
@@ -145,23 +134,6 @@
     boundOverlap(attempt);
 }
 
-void ActiveRequest::boundOverlap(Attempt *attempt) {
-  overlapTimer_.expires_after(MaxStreamOverlap);
-  overlapTimer_.async_wait(
-      [weak = weak_from_this(), attempt](asio::error_code error) {
-        const auto self = weak.lock();
-        if (error || !self || self->done_)
-          return;
-        const auto &attempts = self->attempts_;
-        const bool isLive = std::any_of(
-            attempts.begin(), attempts.end(), [attempt](const auto &other) {
-              return other.get() == attempt && !other->hasEnded();
-            });
-        if (isLive)
-          self->keepOnly(attempt);
-      });
-}
-
 void ActiveRequest::onBody(Attempt *attempt, std::string_view bytes) {
   if (isEventStream(*attempt))
     return onEvents(attempt, bytes);
@@ -235,20 +207,6 @@
   releaseResults(plan_.takeHeldResults());
 }
 
-void ActiveRequest::keepOnly(Attempt *attempt) {
-  isStalled_ = hedgeAwaitsStages_ = false;
-  overlapTimer_.cancel();
-  respondingUpstream_ = attempt->upstream().entry.id;
-  const auto isOther = [attempt](const std::unique_ptr<Attempt> &other) {
-    return other.get() != attempt;
-  };
-  for (const auto &other : attempts_)
-    if (isOther(other) && !other->hasEnded())
-      context_->metrics.countAttempt(poolName_, "superseded");
-  attempts_.erase(std::remove_if(attempts_.begin(), attempts_.end(), isOther),
-                  attempts_.end());
-}
-
 void ActiveRequest::recordHealth(Attempt *attempt) {
   const TimePoint now = steadyNow();
   UpstreamState *upstream = attempt->mutableUpstream();
@@ -376,87 +334,4 @@
       : refuse(possibleRuns_ > 0 ? 502 : 503, "inputs_gone", DefaultRetryAfter);
 }
 
-void ActiveRequest::armHedgeTimer() {
-  if (!route_->isRetryable() || route_->maxAttempts < 2 || attempts_.size() > 1)
-    return;
-  const Duration usualDelay =
-      attempts_.back()->upstream().latency * HedgeFactor;
-  const Duration maxDelay = std::max(
-      MinHedgeDelay, std::min(route_->targetLatency / 2, timeLeft() / 3));
-  progressTimer_.expires_after(
-      std::max(MinHedgeDelay, std::min(maxDelay, usualDelay)));
-  progressTimer_.async_wait([weak = weak_from_this()](asio::error_code error) {
-    const auto self = weak.lock();
-    if (!error && self && !self->done_)
-      self->onHedge();
-  });
-}
-
-void ActiveRequest::onHedge() {
-  if (!hasLiveAttempt() || possibleRuns_ >= route_->maxAttempts || !takeRetry())
-    return;
-  dispatch();
-}
-
-void ActiveRequest::armStallTimer() {
-  if (!route_->isResumable)
-    return;
-  progressTimer_.expires_after(stallTimeout(*route_, streamStarted_));
-  progressTimer_.async_wait([weak = weak_from_this()](asio::error_code error) {
-    const auto self = weak.lock();
-    if (!error && self && !self->done_)
-      self->onStall();
-  });
-}
-
-void ActiveRequest::onStall() {
-  const auto silent =
-      std::find_if(attempts_.begin(), attempts_.end(),
-                   [](const auto &attempt) { return !attempt->hasEnded(); });
-  if (silent == attempts_.end())
-    return;
-  isStalled_ = true;
-  UpstreamState *upstream = (*silent)->mutableUpstream();
-  const bool hedges = mayHedgeStream() && takeRetry();
-  logEvent(LogLevel::Info, "stream_stalled",
-           {{"id", request_.id},
-            {"upstream", upstream->entry.id},
-            {"last_event", static_cast<long>(lastEventId_.value_or(-1))},
-            {"hedged", hedges}});
-  // Silence alone ends no response: the upstream may go on.
-  armStallTimer();
-  if (!hedges)
-    return;
-  recordUpstreamFailure(upstream, steadyNow());
-  hedgeStream();
-}
-
-bool ActiveRequest::needsStagesAgain() const {
-  return !plan_.stages().empty() && !plan_.holdsFinalResults();
-}
-
-bool ActiveRequest::mayHedgeStream() {
-  const auto attemptCount = static_cast<std::int64_t>(triedUpstreams_.size());
-  return !hedgeAwaitsStages_ && possibleRuns_ < route_->maxAttempts &&
-         attemptCount < MaxAttemptsPerRequest && timeLeft() > MinAttemptTime &&
-         (!needsStagesAgain() || plan_.canRestartFinalStages()) &&
-         selectUpstream({}).engine != nullptr;
-}
-
-void ActiveRequest::hedgeStream() {
-  if (!needsStagesAgain())
-    return dispatch();
-  if (!restartStages())
-    return;
-  hedgeAwaitsStages_ = true;
-  submitReadyStages();
-}
-
-void ActiveRequest::retryHedge(Attempt *attempt) {
-  if (attempt->responseInfo().areInputsGone)
-    releaseResults(plan_.takeHeldResults());
-  if (mayHedgeStream() && takeRetry())
-    hedgeStream();
-}
-
 } // namespace auburnspring
--- /dev/null
+++ b/src/auburnspring/serving/active_request_hedge.cpp
@@ -0,0 +1,139 @@
+#include "auburnspring/serving/active_request.h"
+
+#include "auburnspring/base/clock.h"
+#include "auburnspring/base/log.h"
+#include "auburnspring/decision/stall_policy.h"
+#include "auburnspring/decision/upstream_health.h"
+
+#include <algorithm>
+
+namespace auburnspring {
+
+namespace {
+
+/// The hedge delay is this multiple of the upstream's smoothed latency, at
+/// least MinHedgeDelay, and otherwise at most half the latency target and a
+/// third of the time left.
+constexpr std::int64_t HedgeFactor = 3;
+constexpr Duration MinHedgeDelay = std::chrono::milliseconds(45);
+/// Once a second upstream of a stream has sent its head, it runs the request:
+/// the first one is left after this time, unless it brings an event.
+constexpr Duration MaxStreamOverlap = std::chrono::milliseconds(250);
+
+} // namespace
+
+void ActiveRequest::armHedgeTimer() {
+  if (!route_->isRetryable() || route_->maxAttempts < 2 || attempts_.size() > 1)
+    return;
+  const Duration usualDelay =
+      attempts_.back()->upstream().latency * HedgeFactor;
+  const Duration maxDelay = std::max(
+      MinHedgeDelay, std::min(route_->targetLatency / 2, timeLeft() / 3));
+  progressTimer_.expires_after(
+      std::max(MinHedgeDelay, std::min(maxDelay, usualDelay)));
+  progressTimer_.async_wait([weak = weak_from_this()](asio::error_code error) {
+    const auto self = weak.lock();
+    if (!error && self && !self->done_)
+      self->onHedge();
+  });
+}
+
+void ActiveRequest::onHedge() {
+  if (!hasLiveAttempt() || possibleRuns_ >= route_->maxAttempts || !takeRetry())
+    return;
+  dispatch();
+}
+
+void ActiveRequest::armStallTimer() {
+  if (!route_->isResumable)
+    return;
+  progressTimer_.expires_after(stallTimeout(*route_, streamStarted_));
+  progressTimer_.async_wait([weak = weak_from_this()](asio::error_code error) {
+    const auto self = weak.lock();
+    if (!error && self && !self->done_)
+      self->onStall();
+  });
+}
+
+void ActiveRequest::onStall() {
+  const auto silent =
+      std::find_if(attempts_.begin(), attempts_.end(),
+                   [](const auto &attempt) { return !attempt->hasEnded(); });
+  if (silent == attempts_.end())
+    return;
+  isStalled_ = true;
+  UpstreamState *upstream = (*silent)->mutableUpstream();
+  const bool hedges = mayHedgeStream() && takeRetry();
+  logEvent(LogLevel::Info, "stream_stalled",
+           {{"id", request_.id},
+            {"upstream", upstream->entry.id},
+            {"last_event", static_cast<long>(lastEventId_.value_or(-1))},
+            {"hedged", hedges}});
+  // Silence alone ends no response: the upstream may go on.
+  armStallTimer();
+  if (!hedges)
+    return;
+  recordUpstreamFailure(upstream, steadyNow());
+  hedgeStream();
+}
+
+bool ActiveRequest::needsStagesAgain() const {
+  return !plan_.stages().empty() && !plan_.holdsFinalResults();
+}
+
+bool ActiveRequest::mayHedgeStream() {
+  const auto attemptCount = static_cast<std::int64_t>(triedUpstreams_.size());
+  return !hedgeAwaitsStages_ && possibleRuns_ < route_->maxAttempts &&
+         attemptCount < MaxAttemptsPerRequest && timeLeft() > MinAttemptTime &&
+         (!needsStagesAgain() || plan_.canRestartFinalStages()) &&
+         selectUpstream({}).engine != nullptr;
+}
+
+void ActiveRequest::hedgeStream() {
+  if (!needsStagesAgain())
+    return dispatch();
+  if (!restartStages())
+    return;
+  hedgeAwaitsStages_ = true;
+  submitReadyStages();
+}
+
+void ActiveRequest::retryHedge(Attempt *attempt) {
+  if (attempt->responseInfo().areInputsGone)
+    releaseResults(plan_.takeHeldResults());
+  if (mayHedgeStream() && takeRetry())
+    hedgeStream();
+}
+
+void ActiveRequest::boundOverlap(Attempt *attempt) {
+  overlapTimer_.expires_after(MaxStreamOverlap);
+  overlapTimer_.async_wait(
+      [weak = weak_from_this(), attempt](asio::error_code error) {
+        const auto self = weak.lock();
+        if (error || !self || self->done_)
+          return;
+        const auto &attempts = self->attempts_;
+        const bool isLive = std::any_of(
+            attempts.begin(), attempts.end(), [attempt](const auto &other) {
+              return other.get() == attempt && !other->hasEnded();
+            });
+        if (isLive)
+          self->keepOnly(attempt);
+      });
+}
+
+void ActiveRequest::keepOnly(Attempt *attempt) {
+  isStalled_ = hedgeAwaitsStages_ = false;
+  overlapTimer_.cancel();
+  respondingUpstream_ = attempt->upstream().entry.id;
+  const auto isOther = [attempt](const std::unique_ptr<Attempt> &other) {
+    return other.get() != attempt;
+  };
+  for (const auto &other : attempts_)
+    if (isOther(other) && !other->hasEnded())
+      context_->metrics.countAttempt(poolName_, "superseded");
+  attempts_.erase(std::remove_if(attempts_.begin(), attempts_.end(), isOther),
+                  attempts_.end());
+}
+
+} // namespace auburnspring
