Soak: a resumed call's deadline is what its caller states

Cause: a resumed call counted the fraction of a millisecond that its Time-Remaining-Ms does not state, so that a host which ended it at the stated deadline seemed 0.2 ms early. Change: the deadline is rounded down to what is stated. The check stays as it is. Result: the check compares with the time that the host was given.

--- a/soak/load_generator.cpp
+++ b/soak/load_generator.cpp
@@ -81,7 +81,9 @@
   call.kind = CallKind::Stream;
   call.host = host->name;
   call.sentAt = steadyNow();
-  call.deadline = stream.deadline;
+  // A request states its time in whole milliseconds.
+  call.deadline = call.sentAt + std::chrono::floor<std::chrono::milliseconds>(
+                                    stream.deadline - call.sentAt);
   call.isSingleAttempt = stream.isSingleAttempt;
   call.resumedId = stream.streamId;
   call.lastEventId = stream.lastEventId;
