--- a/src/auburnspring/decision/request_run_silence_test.cpp
+++ b/src/auburnspring/decision/request_run_silence_test.cpp
@@ -167,7 +167,7 @@
   CHECK(count<CancelAttempt>(longer) == 0);
 }
 
-// Guards against replacements without end, and against a caller that isn't told
+// Guards against replacements without end, and against a caller that learns nothing
 // at its deadline.
 TEST_CASE("silence of all attempts ends at the deadline") {
   SilenceFixture fixture(8);
