Comments keep no stream at an upstream that brings no events

Cause: any bytes between two events counted as progress: a comment armed the stall timer again and ended a second attempt. What callers saw: a stream of a dead engine that still sends heartbeats waited for its deadline. Change: only an event, which has an id or data, is progress. Comments are forwarded while the stream has one attempt. Evidence: the new case of platform_endless_bytes_test ended incomplete before and moves on; its eight cases pass.

--- a/src/auburnspring/serving/active_request_attempts.cpp
+++ b/src/auburnspring/serving/active_request_attempts.cpp
@@ -157,6 +157,7 @@
   if (done_)
     return;
   std::string out;
+  bool hasEvent = false;
   attempt->meter().addBytes(bytes.size());
   for (const StreamEvent &event : attempt->splitter().feed(bytes)) {
     // A resumed stream may repeat events that the caller has received.
@@ -166,11 +167,15 @@
     if (isRepeated)
       continue;
     out += event.bytes;
+    hasEvent = hasEvent || event.id || event.hasData;
     if (event.id)
       lastEventId_ = event.id;
   }
-  if (!out.empty())
+  // Comments are no progress: they keep no stream at its upstream.
+  if (hasEvent)
     forwardEvents(attempt, out);
+  else if (streamStarted_ && attempts_.size() == 1)
+    exchange_->write(out);
   if (!done_ && attempt->meter().isExceeded())
     attempt->endUnbounded("event", attempt->meter().bytes());
 }
