An upstream that is listed again keeps what it has stated

Cause: an entry that was missing for a moment ended the upstream's state; the same incarnation, listed again, began without its refusal, its statement that it leaves and its load. Change: the registry keeps the state of an incarnation that left and uses it again if that incarnation registers again. Evidence: the new case of upstream_registry_test failed in two of three sections and passes; decision_test (124 cases) and platform_serving_test (33) pass. Result: a statement holds for the incarnation, as its documentation says.

--- a/include/auburnspring/decision/upstream_registry.h
+++ b/include/auburnspring/decision/upstream_registry.h
@@ -81,16 +81,19 @@
 private:
   struct Departed {
     std::string key;
-    UpstreamEntry entry;
+    UpstreamStatePtr state;
     TimePoint at;
   };
 
   static bool isSameIncarnation(const UpstreamEntry &a, const UpstreamEntry &b);
-  void recordDeparture(const std::string &key, const UpstreamEntry &entry,
+  void recordDeparture(const std::string &key, UpstreamStatePtr state,
                        TimePoint now);
-  /// The incarnation has registered again.
-  void forgetDeparture(const std::string &key, const UpstreamEntry &entry);
-  bool hasDeparted(const std::string &key, const UpstreamEntry &entry) const;
+  std::deque<Departed>::const_iterator
+  findDeparted(const std::string &key, const UpstreamEntry &entry) const;
+  /// The state of an incarnation that has registered again, which is no longer
+  /// remembered as departed; null for one that had not left.
+  UpstreamStatePtr takeDeparted(const std::string &key,
+                                const UpstreamEntry &entry);
 
   std::map<std::string, UpstreamStatePtr> byKey_;
   /// Incarnations that have left, oldest first.
--- a/src/auburnspring/decision/upstream_registry.cpp
+++ b/src/auburnspring/decision/upstream_registry.cpp
@@ -14,31 +14,33 @@
 }
 
 void UpstreamRegistry::recordDeparture(const std::string &key,
-                                       const UpstreamEntry &entry,
-                                       TimePoint now) {
-  departed_.push_back({key, entry, now});
+                                       UpstreamStatePtr state, TimePoint now) {
+  state->isLeaving = true;
+  departed_.push_back({key, std::move(state), now});
   while (departed_.size() > MaxDeparted ||
          departed_.front().at + DepartedRetention < now)
     departed_.pop_front();
 }
 
-void UpstreamRegistry::forgetDeparture(const std::string &key,
-                                       const UpstreamEntry &entry) {
-  departed_.erase(std::remove_if(departed_.begin(), departed_.end(),
-                                 [&](const Departed &departed) {
-                                   return departed.key == key &&
-                                          isSameIncarnation(departed.entry,
-                                                            entry);
-                                 }),
-                  departed_.end());
+std::deque<UpstreamRegistry::Departed>::const_iterator
+UpstreamRegistry::findDeparted(const std::string &key,
+                               const UpstreamEntry &entry) const {
+  return std::find_if(departed_.begin(), departed_.end(),
+                      [&](const Departed &departed) {
+                        return departed.key == key &&
+                               isSameIncarnation(departed.state->entry, entry);
+                      });
 }
 
-bool UpstreamRegistry::hasDeparted(const std::string &key,
-                                   const UpstreamEntry &entry) const {
-  return std::any_of(
-      departed_.begin(), departed_.end(), [&](const Departed &departed) {
-        return departed.key == key && isSameIncarnation(departed.entry, entry);
-      });
+UpstreamStatePtr UpstreamRegistry::takeDeparted(const std::string &key,
+                                                const UpstreamEntry &entry) {
+  UpstreamStatePtr state;
+  for (auto found = findDeparted(key, entry); found != departed_.end();
+       found = findDeparted(key, entry)) {
+    state = found->state;
+    departed_.erase(found);
+  }
+  return state;
 }
 
 UpstreamRegistry::Change UpstreamRegistry::put(const std::string &key,
@@ -46,21 +48,21 @@
                                                TimePoint now,
                                                EntrySource source) {
   const bool isCopy = source == EntrySource::RestoredCopy;
-  if (isCopy && hasDeparted(key, entry))
+  if (isCopy && findDeparted(key, entry) != departed_.end())
     return Change::None;
   ++version_;
   expired_.erase(key);
   UpstreamStatePtr &held = byKey_[key];
   const bool sameIncarnation = held && isSameIncarnation(held->entry, entry);
   if (!sameIncarnation) {
-    if (held) {
-      held->isLeaving = true;
-      recordDeparture(key, held->entry, now);
-    }
-    forgetDeparture(key, entry);
-    held = std::make_shared<UpstreamState>();
+    if (held)
+      recordDeparture(key, held, now);
+    // What an incarnation has stated holds although its entry was missing.
+    held = takeDeparted(key, entry);
+    if (!held)
+      held = std::make_shared<UpstreamState>();
     held->entry = std::move(entry);
-    held->isLeaving = held->entry.isLeaving;
+    held->isLeaving = held->entry.isLeaving || held->hasAnnouncedLeaving;
     return held->isLeaving ? Change::Left : Change::Joined;
   }
   const bool wasLeaving = held->isLeaving;
@@ -90,8 +92,7 @@
     expired_.emplace(key, now);
     return Change::Expired;
   }
-  found->second->isLeaving = true;
-  recordDeparture(key, found->second->entry, now);
+  recordDeparture(key, found->second, now);
   byKey_.erase(found);
   expired_.erase(key);
   return Change::Left;
@@ -132,8 +133,7 @@
     const auto found = byKey_.find(entry.first);
     if (found == byKey_.end())
       continue;
-    found->second->isLeaving = true;
-    recordDeparture(entry.first, found->second->entry, now);
+    recordDeparture(entry.first, found->second, now);
     byKey_.erase(found);
     removed.push_back(entry.first);
   }
--- a/src/auburnspring/decision/upstream_registry_test.cpp
+++ b/src/auburnspring/decision/upstream_registry_test.cpp
@@ -161,3 +161,32 @@
   registry.byId("a")->isLeaving = true;
   CHECK_FALSE(registry.lists("p", "v1"));
 }
+
+// Guards against requests to an upstream that has refused this host, after its
+// entry was missing for a moment (BUDGET).
+TEST_CASE("an incarnation that is listed again keeps what it has stated") {
+  UpstreamRegistry registry;
+  registry.put("s/a", entry("a"), at(0));
+  const UpstreamStatePtr state = registry.byId("a");
+  state->refusesUntil = at(1500);
+  state->inFlight = 2;
+  registry.remove("s/a", at(100), true);
+  CHECK(registry.pool("p").empty());
+  SECTION("the same incarnation") {
+    CHECK(registry.put("s/a", entry("a"), at(800)) == Change::Joined);
+    REQUIRE(registry.byId("a"));
+    CHECK(registry.byId("a")->refusesUntil == at(1500));
+    CHECK(registry.byId("a")->inFlight == 2);
+    CHECK(registry.pool("p").size() == 1);
+  }
+  SECTION("another incarnation") {
+    CHECK(registry.put("s/a", entry("a", false, 2), at(800)) == Change::Joined);
+    CHECK(registry.byId("a")->refusesUntil == TimePoint());
+    CHECK(registry.byId("a")->inFlight == 0);
+  }
+  SECTION("the same incarnation, which has stated that it leaves") {
+    state->hasAnnouncedLeaving = true;
+    CHECK(registry.put("s/a", entry("a"), at(800)) == Change::Left);
+    CHECK(registry.pool("p").empty());
+  }
+}
