A comment within eighty columns

Cause: a comment that was reworded became longer than a line; the formatter stopped the whole run of the checks. What callers saw: nothing. Change: the line break. Evidence: scripts/check_format passes. Result: the checks can run.

--- a/src/auburnspring/decision/request_run_silence_test.cpp
+++ b/src/auburnspring/decision/request_run_silence_test.cpp
@@ -167,8 +167,8 @@
   CHECK(count<CancelAttempt>(longer) == 0);
 }
 
-// Guards against replacements without end, and against a caller that learns nothing
-// at its deadline.
+// Guards against replacements without end, and against a caller that learns
+// nothing at its deadline.
 TEST_CASE("silence of all attempts ends at the deadline") {
   SilenceFixture fixture(8);
   fixture.progress(fixture.first, 0, "abc ");
