--- a/src/auburnspring/serving/active_request_attempts.cpp
+++ b/src/auburnspring/serving/active_request_attempts.cpp
@@ -27,7 +27,8 @@
   placement.promptTokens = request_.promptTokens;
   placement.outputTokens = request_.outputTokens;
   placement.avoid = avoid;
-  placement.softwareVersion = softwareVersion_;
+  const std::optional<std::string> version = requiredVersion();
+  placement.softwareVersion = version;
   std::vector<std::string> inputDataCentres;
   for (const std::string &input : inputs)
     if (const auto endpoint = context_->dialect->resultEndpoint(input))
@@ -157,6 +158,7 @@
   if (done_)
     return;
   std::string out;
+  bool hasEvent = false;
   attempt->meter().addBytes(bytes.size());
   for (const StreamEvent &event : attempt->splitter().feed(bytes)) {
     // A resumed stream may repeat events that the caller has received.
@@ -166,11 +168,15 @@
     if (isRepeated)
       continue;
     out += event.bytes;
+    hasEvent = hasEvent || event.id || event.hasData;
     if (event.id)
       lastEventId_ = event.id;
   }
-  if (!out.empty())
+  // Comments are no progress: they keep no stream at its upstream.
+  if (hasEvent)
     forwardEvents(attempt, out);
+  else if (streamStarted_ && attempts_.size() == 1)
+    exchange_->write(out);
   if (!done_ && attempt->meter().isExceeded())
     attempt->endUnbounded("event", attempt->meter().bytes());
 }
