StagePlan::onInputsGone says what it leaves behind

Cause: its comment promised no change on failure; the stage is marked as spent, which canRestartFinalStages() relies on. What callers saw: nothing; a comment. Change: the comment. Evidence: check_format passes; decision_test passes on the rebuilt code.

--- a/include/auburnspring/decision/stage_plan.h
+++ b/include/auburnspring/decision/stage_plan.h
@@ -40,7 +40,8 @@
                                        std::vector<std::string> results);
 
   /// Runs the stage and its predecessors again because a result that it needs
-  /// is gone. False, without a change, if a stage has no attempts left.
+  /// is gone. False if one of them has no attempts left; the stage then never
+  /// runs again.
   bool onInputsGone(std::uint32_t stage, std::uint32_t attempt);
 
   /// A stage ended without results. It starts again with the next ready ones
