attempt_failed names the prompt's shared parts and the events it brought

Cause: no line said which prompt parts a request has, so that what the requests that broke at one upstream had in common could not be seen. What callers saw: nothing changes for them. Change: attempt_failed has parts= (at most 160 bytes of ids, the last part is the request's own) and events=. Result: one line of each broken attempt is enough to intersect the parts.

--- a/include/auburnspring/serving/active_request.h
+++ b/include/auburnspring/serving/active_request.h
@@ -105,6 +105,10 @@
   /// there is none.
   Attempt *errorResponse() const;
   void decideNextStep(const AttemptReport &report, Attempt *attempt);
+  /// The parts of the prompt that other requests may share: all but the last.
+  absl::Span<const PromptPart> sharedParts() const;
+  /// Their ids, for a log line.
+  std::string sharedPartNames() const;
   void recordHealth(Attempt *attempt);
   void armHedgeTimer();
   void onHedge();
--- a/include/auburnspring/serving/stream_meter.h
+++ b/include/auburnspring/serving/stream_meter.h
@@ -30,6 +30,8 @@
   void addEvent(const StreamEvent &event, bool isRepeated);
 
   bool isExceeded() const;
+  /// Events with data that the caller did not have.
+  std::int64_t eventCount() const { return events_; }
   /// Bytes that count toward the limits.
   std::size_t bytes() const { return idleBytes_ + repeatedBytes_; }
 
--- a/src/auburnspring/serving/active_request_attempts.cpp
+++ b/src/auburnspring/serving/active_request_attempts.cpp
@@ -16,6 +16,8 @@
 /// Maximum size in bytes of a response body, which is buffered before it is
 /// forwarded.
 constexpr std::size_t MaxResponseBytes = 8 << 20;
+/// Bytes of part ids in one log line.
+constexpr std::size_t MaxLoggedPartBytes = 160;
 
 } // namespace
 
@@ -89,8 +91,8 @@
   triedUpstreams_.push_back(upstream->entry.id);
   ++possibleRuns_;
   std::int64_t sharedTokens = 0;
-  for (std::size_t i = 0; i + 1 < request_.prompt.size(); ++i)
-    sharedTokens += request_.prompt[i].tokens;
+  for (const PromptPart &part : sharedParts())
+    sharedTokens += part.tokens;
   const AttemptTokens tokens{
       std::max<std::int64_t>(0, request_.promptTokens - sharedTokens),
       request_.promptTokens + request_.outputTokens, choice.pendingTokens};
@@ -213,6 +215,21 @@
   releaseResults(plan_.takeHeldResults());
 }
 
+absl::Span<const PromptPart> ActiveRequest::sharedParts() const {
+  const absl::Span<const PromptPart> parts = request_.prompt;
+  return parts.empty() ? parts : parts.first(parts.size() - 1);
+}
+
+std::string ActiveRequest::sharedPartNames() const {
+  std::string names;
+  for (const PromptPart &part : sharedParts()) {
+    if (names.size() + part.id.size() > MaxLoggedPartBytes)
+      return names + ",...";
+    names += (names.empty() ? "" : ",") + part.id;
+  }
+  return names;
+}
+
 void ActiveRequest::recordHealth(Attempt *attempt) {
   const TimePoint now = steadyNow();
   UpstreamState *upstream = attempt->mutableUpstream();
@@ -239,6 +256,8 @@
               {"end", end},
               {"status", report.status},
               {"why", attempt->failureReason()},
+              {"events", static_cast<long>(attempt->meter().eventCount())},
+              {"parts", sharedPartNames()},
               {"ms", toMillis(now - attempt->startedAt())},
               {"failure_rate", upstream->failureRate},
               {"in_flight", static_cast<long>(upstream->inFlight)}});
