Prompt parts that crash upstreams are quarantined by all hosts together

Cause: nothing remembered beyond one request which prompt parts ran when an upstream crashed. Each request with such a part was placed like any other, at every host, and ended one more upstream. Change: each host reports the shared parts of the requests that an upstream broke off before they had proved sound (half a second of events, or their end) to the holders of those parts: every host of a small fleet, three by rendezvous hashing in a larger one. Three crashes at separate moments without a sound request quarantine a part; every host is told, and one that has seen a sound request objects. Requests with a quarantined part get 503 at once, with the time of the next trial. Of parts suspected for the same crashes all must be there, until a crash or a sound request tells them apart, so that what only shares a first part goes on. Three trials, 4 s, 20 s and 10 min apart. Heartbeats carry the states to hosts that join, the store keeps them when all hosts stop.

--- a/include/auburnspring/decision/peer_message.h
+++ b/include/auburnspring/decision/peer_message.h
@@ -4,6 +4,8 @@
 #include "auburnspring/config/configuration.h"
 #include "auburnspring/config/settings.h"
 #include "auburnspring/decision/batch_upstream_state.h"
+#include "auburnspring/decision/part_crash.h"
+#include "auburnspring/decision/part_quarantine.h"
 #include "auburnspring/decision/stage_job.h"
 #include "auburnspring/decision/store_item.h"
 #include "auburnspring/decision/store_version.h"
@@ -134,6 +136,8 @@
   /// Origins of streams that the sender has recorded since its last heartbeat;
   /// empty in a fleet whose heartbeats do not reach all hosts.
   std::vector<StreamOrigin> origins;
+  /// Prompt parts that are or were quarantined.
+  std::vector<PartQuarantine> quarantines;
 };
 
 /// Submits jobs to the batching host of their pools. Times are sent as time
@@ -222,13 +226,36 @@
   std::optional<StreamOrigin> origin;
 };
 
+/// Crashes that the sender has observed, for the holders of their parts.
+struct PartCrashReport {
+  std::vector<PartCrash> crashes;
+};
+
+/// States of prompt parts that have changed.
+struct PartQuarantineUpdate {
+  std::vector<PartQuarantine> states;
+};
+
+/// Asks whether the sender may let one request with a quarantined part through.
+struct PartTrialRequest {
+  /// Assigned by the sender; the reply carries it.
+  std::uint64_t number = 0;
+  std::string part;
+};
+
+struct PartTrialReply {
+  std::uint64_t number = 0;
+  bool granted = false;
+};
+
 using PeerMessage =
     std::variant<Ping, Ack, BundleRequest, BundleReply, LedgerForward,
                  LedgerForwardReply, HostHeartbeat, JobSubmit, JobCancel,
                  ResultRelease, JobOutcomes, BatcherProbe, ReplicaRequest,
                  ReplicaReply, StoreVersionUpdate, OperatorConfigurationRequest,
                  OperatorConfigurationReply, StreamOriginsUpdate,
-                 StreamOriginQuery, StreamOriginReply>;
+                 StreamOriginQuery, StreamOriginReply, PartCrashReport,
+                 PartQuarantineUpdate, PartTrialRequest, PartTrialReply>;
 
 } // namespace auburnspring
 
--- a/include/auburnspring/serving/active_request.h
+++ b/include/auburnspring/serving/active_request.h
@@ -45,6 +45,18 @@
   void onDeadline();
   void endRequest(int statusIfRun, std::string_view reason);
 
+  // Prompt parts that crash upstreams.
+  /// Responds to a request with a quarantined part, and returns true.
+  bool refuseIfQuarantined();
+  void refuseQuarantined(const PartQuarantines::Check &check);
+  /// As refuseIfQuarantined(), right before an attempt. The attempt starts
+  /// later if the request gets the trial that is due.
+  bool holdIfQuarantined();
+  /// The attempt shows that its parts crash no upstream.
+  void noteSound(Attempt *attempt);
+  /// The upstream broke off the attempt: its parts may be the cause.
+  void noteBroken(const Attempt &attempt);
+
   // Streams that go on.
   /// True for a request that takes up a stream of which the caller has events.
   bool isResumption() const;
@@ -107,8 +119,8 @@
   void decideNextStep(const AttemptReport &report, Attempt *attempt);
   /// The parts of the prompt that other requests may share: all but the last.
   absl::Span<const PromptPart> sharedParts() const;
-  /// Their ids, for a log line.
-  std::string sharedPartNames() const;
+  /// Names of the first of them, for a log line.
+  std::string loggedParts() const;
   void recordHealth(Attempt *attempt);
   void armHedgeTimer();
   void onHedge();
@@ -143,6 +155,10 @@
   std::string organisation_;
   std::int64_t priority_ = 0;
   CallerRequest request_;
+  /// Names of the prompt's shared parts.
+  std::vector<std::string> partNames_;
+  /// This request is the one with a quarantined part that is let through.
+  bool isTrial_ = false;
   TimePoint deadline_;
   /// Target time of the response or of a stream's first event.
   TimePoint targetTime_;
--- a/include/auburnspring/serving/attempt.h
+++ b/include/auburnspring/serving/attempt.h
@@ -10,6 +10,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -56,6 +57,13 @@
   /// Called at the first event of a stream: the engine has finished prefill.
   void notePrefillDone();
 
+  /// True if an event at `lastEventAt` is this long after the attempt's first
+  /// one, which the first call notes.
+  bool hasLastedFor(Duration span, TimePoint lastEventAt);
+  /// The attempt has shown that its request crashes no upstream.
+  bool isSound() const { return isSound_; }
+  void setSound() { isSound_ = true; }
+
   const UpstreamState &upstream() const { return *upstream_; }
   UpstreamState *mutableUpstream() { return upstream_.get(); }
   bool hasHead() const { return head_.status != 0; }
@@ -90,6 +98,8 @@
   std::string requestId_;
   TimePoint startedAt_;
   bool prefillDone_ = false;
+  bool isSound_ = false;
+  std::optional<TimePoint> firstEventAt_;
   bool loadReleased_ = true;
   bool ended_ = false;
   http::CallStatus callStatus_ = http::CallStatus::NotSent;
--- a/include/auburnspring/serving/dialect.h
+++ b/include/auburnspring/serving/dialect.h
@@ -118,6 +118,8 @@
   virtual std::string configurationKey() const = 0;
   virtual std::string upstreamPrefix() const = 0;
   virtual std::string hostPrefix() const = 0;
+  /// Keys of the prompt parts that are quarantined.
+  virtual std::string quarantinePrefix() const = 0;
   virtual absl::StatusOr<RoutingTable>
   parseConfiguration(std::string_view value) const = 0;
   virtual absl::StatusOr<UpstreamEntry>
--- a/include/auburnspring/serving/serving_context.h
+++ b/include/auburnspring/serving/serving_context.h
@@ -8,6 +8,7 @@
 #include "auburnspring/decision/routing_table.h"
 #include "auburnspring/decision/upstream_registry.h"
 #include "auburnspring/serving/dialect.h"
+#include "auburnspring/serving/part_guard_exchange.h"
 #include "auburnspring/serving/piece_dispatcher.h"
 #include "auburnspring/serving/serving_metrics.h"
 #include "auburnspring/serving/stream_origin_exchange.h"
@@ -32,6 +33,7 @@
   RetryQuota retryQuota;
   PieceDispatcher *pieceDispatcher = nullptr;
   StreamOriginExchange *streamOrigins = nullptr;
+  PartGuardExchange *partGuard = nullptr;
   PoolVersionHistory versionHistory;
   ServingMetrics metrics;
   /// Recent time from the submission of a stage to its results, by pool.
--- a/include/auburnspring/serving/serving_host.h
+++ b/include/auburnspring/serving/serving_host.h
@@ -88,6 +88,7 @@
   PeerNetwork peers_;
   PieceDispatcher pieceDispatcher_;
   StreamOriginExchange streamOrigins_;
+  PartGuardExchange partGuard_;
   StoreFollower follower_;
   http::Server callerServer_;
   http::Server readinessServer_;
--- a/include/auburnspring/serving/serving_metrics.h
+++ b/include/auburnspring/serving/serving_metrics.h
@@ -31,6 +31,8 @@
   void countAbortedStream(const std::string &reason);
   /// Counts a request that resumes a stream: went on, or why it did not.
   void countResumption(const std::string &outcome);
+  /// Counts a change of a prompt part's quarantine.
+  void countQuarantine(const std::string &change);
   /// Sets a gauge that is updated on each scrape.
   void set(const std::string &name, double value);
 
@@ -47,6 +49,7 @@
   prometheus::Family<prometheus::Counter> *refusals_;
   prometheus::Family<prometheus::Counter> *abortedStreams_;
   prometheus::Family<prometheus::Counter> *resumptions_;
+  prometheus::Family<prometheus::Counter> *quarantines_;
   prometheus::Family<prometheus::Gauge> *state_;
 };
 
--- a/src/auburnspring/serving/active_request.cpp
+++ b/src/auburnspring/serving/active_request.cpp
@@ -27,6 +27,7 @@
 
 void ActiveRequest::start() {
   request_ = context_->dialect->parseCallerRequest(exchange_->head);
+  partNames_ = sharedPartNames(request_.prompt);
   deadline_ = exchange_->receivedAt + DefaultTimeout;
   if (!admit())
     return;
@@ -40,6 +41,8 @@
     if (!error && self)
       self->onDeadline();
   });
+  if (refuseIfQuarantined())
+    return;
   lastEventId_ = request_.lastEventId;
   isResumption() ? findOrigin() : startStages();
 }
@@ -140,6 +143,7 @@
 void ActiveRequest::relay(Attempt *attempt) {
   const int status = attempt->head().status;
   respondingUpstream_ = attempt->upstream().entry.id;
+  noteSound(attempt);
   exchange_->respond(context_->dialect->callerResponseHead(attempt->head()),
                      attempt->body());
   finish(status < 500 ? "complete" : "upstream_failed", status, "");
--- a/src/auburnspring/serving/active_request_attempts.cpp
+++ b/src/auburnspring/serving/active_request_attempts.cpp
@@ -18,6 +18,9 @@
 constexpr std::size_t MaxResponseBytes = 8 << 20;
 /// Bytes of part ids in one log line.
 constexpr std::size_t MaxLoggedPartBytes = 160;
+/// A stream that still brings events this long after its first one was not
+/// broken off by what begins with it.
+constexpr Duration SoundStreamTime = std::chrono::milliseconds(500);
 
 } // namespace
 
@@ -56,6 +59,8 @@
       onDeadline();
     return;
   }
+  if (holdIfQuarantined())
+    return;
   const EngineChoice choice = selectUpstream(plan_.finalResults());
   if (choice.engine == nullptr) {
     if (hasLiveAttempt())
@@ -189,6 +194,8 @@
   if (!streamStarted_)
     startStream(attempt);
   attempt->notePrefillDone();
+  if (attempt->hasLastedFor(SoundStreamTime, lastEventAt_))
+    noteSound(attempt);
   exchange_->write(events);
   if (exchange_->pendingBytes() > MaxPendingBytes)
     return abortStream("caller_reads_too_slowly");
@@ -220,12 +227,12 @@
   return parts.empty() ? parts : parts.first(parts.size() - 1);
 }
 
-std::string ActiveRequest::sharedPartNames() const {
+std::string ActiveRequest::loggedParts() const {
   std::string names;
-  for (const PromptPart &part : sharedParts()) {
-    if (names.size() + part.id.size() > MaxLoggedPartBytes)
+  for (const std::string &part : partNames_) {
+    if (names.size() + part.size() > MaxLoggedPartBytes)
       return names + ",...";
-    names += (names.empty() ? "" : ",") + part.id;
+    names += (names.empty() ? "" : ",") + part;
   }
   return names;
 }
@@ -257,7 +264,7 @@
               {"status", report.status},
               {"why", attempt->failureReason()},
               {"events", static_cast<long>(attempt->meter().eventCount())},
-              {"parts", sharedPartNames()},
+              {"parts", loggedParts()},
               {"ms", toMillis(now - attempt->startedAt())},
               {"failure_rate", upstream->failureRate},
               {"in_flight", static_cast<long>(upstream->inFlight)}});
@@ -267,6 +274,7 @@
   if (done_)
     return;
   recordHealth(attempt);
+  noteBroken(*attempt);
   if (!attempt->report().mayHaveBeenSent || attempt->report().isNotRun)
     --possibleRuns_;
   if (callerDisconnected_)
@@ -283,6 +291,7 @@
                           streamStarted_ && report.status == 200 &&
                           !attempt->splitter().hasPartialEvent();
   if (isComplete) {
+    noteSound(attempt);
     exchange_->end();
     return finish("complete", 200, "");
   }
--- a/src/auburnspring/serving/attempt.cpp
+++ b/src/auburnspring/serving/attempt.cpp
@@ -62,6 +62,11 @@
   upstream_->prefillTokens -= tokens_.prefill;
 }
 
+bool Attempt::hasLastedFor(Duration span, TimePoint lastEventAt) {
+  firstEventAt_ = firstEventAt_.value_or(lastEventAt);
+  return lastEventAt >= *firstEventAt_ + span;
+}
+
 void Attempt::releaseLoad() {
   if (loadReleased_)
     return;
--- a/src/auburnspring/serving/serving_host.cpp
+++ b/src/auburnspring/serving/serving_host.cpp
@@ -78,6 +78,8 @@
                                     : nullptr;
                        }),
       streamOrigins_(io, &peers_),
+      partGuard_(io, &peers_, store, dialect->quarantinePrefix(),
+                 &context_.metrics),
       follower_(io, store,
                 {dialect->hostPrefix() + settings_.host,
                  hostEntry(settings_, false), hostEntry(settings_, true),
@@ -106,6 +108,7 @@
   context_.dialect = dialect;
   context_.pieceDispatcher = &pieceDispatcher_;
   context_.streamOrigins = &streamOrigins_;
+  context_.partGuard = &partGuard_;
   context_.random.seed(randomSeed());
   context_.retryQuota.setLimits(
       {settings_.retryRatio, settings_.retrySlack, settings_.retryWindow});
@@ -147,6 +150,9 @@
       onUpstream(change, update.removalsAreConfirmed);
     else if (absl::StartsWith(change.key, dialect_->hostPrefix()))
       onHost(change);
+    else if (absl::StartsWith(change.key, dialect_->quarantinePrefix()) &&
+             !change.removed)
+      partGuard_.onStoreItem(change.key, change.value);
   }
   if (context_.registry.version() != before)
     pieceDispatcher_.onUpstreamsChanged();
@@ -291,6 +297,14 @@
     return streamOrigins_.onQuery(from, *query);
   if (const auto *reply = std::get_if<StreamOriginReply>(&message))
     return streamOrigins_.onReply(from, *reply);
+  if (const auto *report = std::get_if<PartCrashReport>(&message))
+    return partGuard_.onReport(from, *report);
+  if (const auto *update = std::get_if<PartQuarantineUpdate>(&message))
+    return partGuard_.onUpdate(from, *update);
+  if (const auto *request = std::get_if<PartTrialRequest>(&message))
+    return partGuard_.onTrialRequest(from, *request);
+  if (const auto *reply = std::get_if<PartTrialReply>(&message))
+    return partGuard_.onTrialReply(*reply);
   if (std::holds_alternative<OperatorConfigurationRequest>(message))
     return peers_.send(from, OperatorConfigurationReply{configurationText_});
   if (const auto *reply = std::get_if<OperatorConfigurationReply>(&message))
@@ -313,6 +327,7 @@
   for (const UpstreamNotice &notice : heartbeat.notices)
     applyUpstreamNotice(notice, from, &context_.registry, now);
   streamOrigins_.onOrigins(heartbeat.origins);
+  partGuard_.onHeartbeat(from, heartbeat.quarantines);
   onPeerStoreVersion(from, heartbeat.storeVersion, heartbeat.storeVersionAge);
   requestNewerConfiguration(from, heartbeat);
 }
@@ -380,6 +395,7 @@
 HostHeartbeat ServingHost::takeHeartbeat() {
   HostHeartbeat heartbeat;
   heartbeat.origins = streamOrigins_.takeForHeartbeat();
+  heartbeat.quarantines = partGuard_.statesForHeartbeat();
   heartbeat.storeVersion = follower_.replica().version();
   heartbeat.storeVersionAge = follower_.versionAge();
   heartbeat.storeReachable = follower_.isReachable();
@@ -450,6 +466,10 @@
   metrics.set("stage_jobs_outstanding",
               static_cast<double>(pieceDispatcher_.outstandingCount()));
   metrics.set("stream_origins", static_cast<double>(streamOrigins_.size()));
+  metrics.set("quarantined_parts",
+              static_cast<double>(partGuard_.quarantinedCount()));
+  metrics.set("suspected_parts",
+              static_cast<double>(partGuard_.suspectCount()));
   const PieceDispatcher::Counters pieces = pieceDispatcher_.counters();
   metrics.set("batches_sent", static_cast<double>(pieces.batches));
   metrics.set("pieces_sent", static_cast<double>(pieces.pieces));
@@ -478,6 +498,7 @@
   if (++ticks_ % TicksPerHeartbeat == 0)
     peers_.broadcast(takeHeartbeat(), PeerNetwork::HeartbeatFanout);
   streamOrigins_.tick();
+  partGuard_.tick();
   noteVersions(now);
   if (ticks_ % TicksPerVersionUpdate == 0)
     sendVersionUpdates();
--- a/src/auburnspring/serving/serving_metrics.cpp
+++ b/src/auburnspring/serving/serving_metrics.cpp
@@ -49,6 +49,11 @@
                         .Name("auburnspring_resumptions_total")
                         .Help("Requests that resume a stream, by outcome")
                         .Register(registry_)),
+      quarantines_(
+          &prometheus::BuildCounter()
+               .Name("auburnspring_part_quarantines_total")
+               .Help("Changes of the quarantine of prompt parts, by change")
+               .Register(registry_)),
       state_(&prometheus::BuildGauge()
                   .Name("auburnspring_state")
                   .Help("Current state of the host")
@@ -88,6 +93,10 @@
   resumptions_->Add({{"outcome", outcome}}).Increment();
 }
 
+void ServingMetrics::countQuarantine(const std::string &change) {
+  quarantines_->Add({{"change", change}}).Increment();
+}
+
 void ServingMetrics::set(const std::string &name, double value) {
   state_->Add({{"of", name}}).Set(value);
 }
--- a/src/auburnspring/wire/peer_codec.cpp
+++ b/src/auburnspring/wire/peer_codec.cpp
@@ -1,5 +1,6 @@
 #include "auburnspring/wire/peer_codec.h"
 
+#include "part_quarantine_codec.h"
 #include "peer_mac.h"
 #include "stream_origin_codec.h"
 
@@ -169,7 +170,8 @@
                       {"config", heartbeat.configurationVersion},
                       {"loads", std::move(loads)},
                       {"notices", std::move(notices)},
-                      {"origins", toJson(heartbeat.origins)}},
+                      {"origins", toJson(heartbeat.origins)},
+                      {"quarantines", toJson(heartbeat.quarantines)}},
                      heartbeat.storeVersion);
 }
 
@@ -196,6 +198,8 @@
          notice.at(2).get<bool>(), Duration(notice.at(3).get<std::int64_t>())});
   }
   heartbeat.origins = readOrigins(json);
+  heartbeat.quarantines =
+      readQuarantines(json.value("quarantines", nlohmann::json::array()));
   return heartbeat;
 }
 
@@ -383,6 +387,16 @@
     return PeerMessage(readOriginQuery(json));
   case 19:
     return PeerMessage(readOriginReply(json));
+  case 20:
+    return PeerMessage(readCrashReport(json));
+  case 21:
+    return PeerMessage(PartQuarantineUpdate{readQuarantines(json)});
+  case 22:
+    return PeerMessage(PartTrialRequest{json.at("n").get<std::uint64_t>(),
+                                        json.at("part").get<std::string>()});
+  case 23:
+    return PeerMessage(PartTrialReply{json.at("n").get<std::uint64_t>(),
+                                      json.at("granted").get<bool>()});
   default:
     return absl::UnimplementedError(
         absl::StrCat("unknown peer message kind ", kind));
