Soak: a prompt part that crashes upstreams, and sound requests beside it

Cause: the soak's streams had no prompts, so no run could show a part that crashes upstreams, nor what a quarantine does to requests that share its other parts. What callers saw: nothing changes for them. Change: fault set 4. Model upstreams crash when they begin to respond to a request with one part; 6 % of the streams have it, beside a first and a shared part that all streams draw from. Earlier sets keep their sequences.

--- a/soak/fault_injector.h
+++ b/soak/fault_injector.h
@@ -14,9 +14,11 @@
 public:
   /// Kinds of faults that were added together. A seed's sequence depends on the
   /// kinds, so a seed that failed is kept with the set it failed with.
-  static constexpr int LatestFaultSet = 3;
+  static constexpr int LatestFaultSet = 4;
   /// First set with upstreams of several software versions.
   static constexpr int VersionsFaultSet = 3;
+  /// From this set on, one prompt part crashes upstreams.
+  static constexpr int CrashingPartFaultSet = 4;
 
   FaultInjector(asio::io_context &io, SoakCluster *cluster,
                 GuaranteeChecker *checker, std::uint64_t seed,
--- a/soak/guarantee_checker.cpp
+++ b/soak/guarantee_checker.cpp
@@ -78,6 +78,7 @@
                     fmt::format("{} reached {} {} ms after it started to drain",
                                 id, upstream, toMillis(at - draining->second)));
   checkStatements(call, upstream, at);
+  crashingPart_.onArrival(call.sent, isConnected(call.sent.host, at), at);
 }
 
 bool GuaranteeChecker::Sender::operator<(const Sender &other) const {
@@ -358,10 +359,16 @@
     if (call.sent.sentAt < recoveredAt || call.outcome.isAbandoned ||
         call.sent.version != 0)
       continue;
+    if (!call.sent.prompt.empty() && !call.sent.hasCrashingPart)
+      crashingPart_.onSoundRequest(call.runs > 0);
+    if (call.sent.hasCrashingPart)
+      continue;
     ++sent;
     if (call.outcome.status == 200 && call.outcome.isComplete)
       ++served;
   }
+  for (std::string &violation : crashingPart_.violations())
+    violations_.push_back(std::move(violation));
   recoveredShare_ =
       sent == 0 ? 0 : static_cast<double>(served) / static_cast<double>(sent);
   if (recoveredShare_ < MinRecoveredShare)
--- a/soak/guarantee_checker.h
+++ b/soak/guarantee_checker.h
@@ -2,6 +2,7 @@
 #define AUBURNSPRING_SOAK_GUARANTEE_CHECKER_H
 
 #include "soak/call_outcome.h"
+#include "soak/crashing_part_checker.h"
 #include "soak/disruption_log.h"
 #include "soak/sent_call.h"
 #include "soak/stream_checker.h"
@@ -73,6 +74,9 @@
   void onHostRefused(const std::string &id, const std::string &upstream,
                      Duration retryAfter, TimePoint at);
 
+  /// An upstream has crashed under the crashing part.
+  void onPartCrash(TimePoint at) { crashingPart_.onCrash(at); }
+
   /// The host's process was paused, and resumed.
   void onPaused(const std::string &host, TimePoint at);
   void onResumed(const std::string &host, TimePoint at);
@@ -93,6 +97,7 @@
   /// One line for each request that counts as lost, within the limit or beyond.
   const std::vector<std::string> &lostRequests() const { return lost_; }
   const StreamChecker &streams() const { return streams_; }
+  const CrashingPartChecker &crashingPart() const { return crashingPart_; }
   /// Share of the requests sent after `recoveredAt` that were served.
   double recoveredShare() const { return recoveredShare_; }
 
@@ -144,6 +149,7 @@
   DisruptionLog disruptions_;
   std::map<std::string, Call> calls_;
   StreamChecker streams_;
+  CrashingPartChecker crashingPart_;
   std::map<std::int64_t, TimePoint> publishedAt_;
   std::map<std::string, TimePoint> drainingSince_;
   /// Newest version that each incarnation of a host has served, and when.
--- a/soak/load_generator.cpp
+++ b/soak/load_generator.cpp
@@ -13,6 +13,9 @@
 
 /// Deadline of a request, below the timeout of every route.
 constexpr Duration CallTimeout = std::chrono::milliseconds(2500);
+/// Share of the requests with a prompt that have the crashing part.
+constexpr double CrashingPartShare = 0.06;
+constexpr int SharedParts = 6;
 
 } // namespace
 
@@ -48,6 +51,18 @@
   return found[any(random_)];
 }
 
+void LoadGenerator::drawPrompt(SentCall *call) {
+  const std::string &part = cluster_->options().crashingPart;
+  if (part.empty())
+    return;
+  std::uniform_int_distribution<int> any(1, SharedParts);
+  call->hasCrashingPart =
+      std::bernoulli_distribution(CrashingPartShare)(random_);
+  call->prompt =
+      fmt::format("first:200,shared{}:100,{}own-{}:50", any(random_),
+                  call->hasCrashingPart ? part + ":50," : "", call->id);
+}
+
 SentCall LoadGenerator::nextCall(SoakHost *host) {
   // Of ten requests one is for the route of the newest configuration version,
   // and one for that of the previous version, which has been removed.
@@ -67,6 +82,9 @@
     const double singleShare = cluster_->options().singleAttemptShare;
     if (call.kind == CallKind::Stream && singleShare > 0)
       call.isSingleAttempt = std::bernoulli_distribution(singleShare)(random_);
+    if (call.kind == CallKind::Stream ||
+        call.kind == CallKind::AtMostOnceStream)
+      drawPrompt(&call);
     return call;
   }
   call.kind = CallKind::Retryable;
--- a/soak/load_generator.h
+++ b/soak/load_generator.h
@@ -30,6 +30,9 @@
   std::size_t busyCount() const;
 
 private:
+  /// Gives the stream a prompt, in runs with a part that crashes upstreams.
+  void drawPrompt(SentCall *call);
+
   friend class SoakCaller;
 
   SoakHost *pickHost();
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -54,7 +54,7 @@
   -f, --faults SECONDS how long faults are injected (12)
   -n, --hosts N        serving hosts (3)
   -c, --callers N      callers (24)
-  -k, --fault-set N    kinds of faults up to set N (3); seeds that failed with
+  -k, --fault-set N    kinds of faults up to set N (4); seeds that failed with
                        an earlier set are run with that one
   -d, --dir DIR        settings and logs of the processes (a new directory)
   -h, --help           show this text
@@ -150,6 +150,8 @@
     clusterOptions.droppedStreamShare = DroppedStreamShare;
     clusterOptions.singleAttemptShare = SingleAttemptShare;
   }
+  if (options.faultSet >= FaultInjector::CrashingPartFaultSet)
+    clusterOptions.crashingPart = "bad0";
   SoakCluster cluster(io, clusterOptions, &checker);
   cluster.startHosts();
   LoadGenerator generator(io, &cluster, &checker, options.seed,
@@ -179,11 +181,12 @@
     for (std::size_t i = 0; i < std::min(lines.size(), MaxPrintedViolations);
          ++i)
       fmt::print("trace seed={} {}\n", options.seed, lines[i]);
-  fmt::print("seed={} hosts={} sent={} served={} calm_share={:.3f} {} "
+  fmt::print("seed={} hosts={} sent={} served={} calm_share={:.3f} {} {} "
              "broken={} dir={}\n",
              options.seed, options.hosts, checker.sentCount(),
              checker.servedCount(), checker.recoveredShare(),
-             checker.streams().summary(), violations.size(), options.directory);
+             checker.streams().summary(), checker.crashingPart().summary(),
+             violations.size(), options.directory);
   return violations.empty() ? ExitOk : ExitViolation;
 }
 
--- a/soak/sent_call.h
+++ b/soak/sent_call.h
@@ -24,6 +24,10 @@
   TimePoint sentAt;
   /// Its host may try one upstream only.
   bool isSingleAttempt = false;
+  /// Parts of its prompt; empty if it has none.
+  std::string prompt;
+  /// One of them crashes upstreams.
+  bool hasCrashingPart = false;
   /// When it must have a final response.
   TimePoint deadline;
 
--- a/soak/soak_caller.cpp
+++ b/soak/soak_caller.cpp
@@ -178,6 +178,10 @@
     head.headers.add(names::LastEventId, std::to_string(call_->lastEventId));
     head.headers.add(names::ResumedRequestId, call_->resumedId);
   }
+  if (!call_->prompt.empty()) {
+    head.headers.add(names::PromptPrefix, call_->prompt);
+    head.headers.add(names::TokenUsage, "400,80");
+  }
   head.headers.add("Content-Length", "4");
   return http::encodeHead(head) + "body";
 }
--- a/soak/soak_cluster.cpp
+++ b/soak/soak_cluster.cpp
@@ -221,6 +221,14 @@
   server->onArrival = [this, service, id](const std::string &request) {
     checker_->onArrival(request, service, id, steadyNow());
   };
+  server->crashingPart = options_.crashingPart;
+  server->onCrash = [this, service, server] {
+    checker_->onPartCrash(steadyNow());
+    checker_->disruptions().recordStart("workers", steadyNow());
+    checker_->disruptions().recordEnd("workers", steadyNow());
+    store_.put(names::UpstreamPrefix + server->id(),
+               server->entry(service, "a"));
+  };
   server->onLeavingStated = [this, id](const std::string &request) {
     checker_->onLeavingStated(request, id, steadyNow());
   };
--- a/soak/soak_cluster.h
+++ b/soak/soak_cluster.h
@@ -35,6 +35,8 @@
   /// Share of resumable streams for the route whose hosts may try one upstream
   /// only.
   double singleAttemptShare = 0;
+  /// Prompt part under which model upstreams crash; empty if there is none.
+  std::string crashingPart;
 };
 
 /// A fake upstream with the proxy in front of it.
