upstream_limit: a line for each limit that an upstream names or stops naming

Cause: the header with an upstream's request limit was not read, and neither a line nor a metric showed it. What callers saw: nothing changes for them, but that the header is not passed on. Change: the platform's dialect reads it; the upstream's state holds what it named last to this host, and a change is logged. Nothing decides by it yet.

--- a/include/auburnspring/decision/upstream_state.h
+++ b/include/auburnspring/decision/upstream_state.h
@@ -33,6 +33,9 @@
   /// The upstream has refused a request of this host and wants no other before
   /// this time.
   TimePoint refusesUntil;
+  /// Requests a second that it takes of all hosts together, as it named last in
+  /// a response to this host.
+  std::optional<double> requestLimit;
   /// As reported by a peer, to which it has refused a request. A hint: the
   /// upstream may still take requests of this host.
   TimePoint refusesPeersUntil;
--- a/include/auburnspring/serving/dialect.h
+++ b/include/auburnspring/serving/dialect.h
@@ -74,6 +74,9 @@
   bool areInputsGone = false;
   /// The upstream states that it is leaving.
   bool isLeaving = false;
+  /// Requests a second that the upstream takes of all hosts together; not set if
+  /// it names no limit.
+  std::optional<double> requestLimit;
   /// The upstream wants no further request of this host for this time; 0 if it
   /// does not say so.
   Duration refusesFor{0};
