Requests of all hosts together keep to the limit that an upstream names

Cause: nothing decided by the limit, and each host would have sent what the upstream takes of all. What callers saw: an upstream in need was overrun by three times its limit and more; its streams were late. Change: one host, the batching host of the upstream's pool, gives permits at the rate that was named; the others ask for one before each attempt: first ones, retries, hedges, resumptions. Batches and releases take theirs from the host that sends them. Who is denied goes to another upstream; if all are at their limits, the request is refused at once with the time of the next permit. Statements carry ages, the later one holds, heartbeats bring them to hosts that join. A success that names no limit, to a request sent after the last one that did, ends it. A giver that does not reply is suspected, so that another one takes over.

--- a/include/auburnspring/decision/peer_message.h
+++ b/include/auburnspring/decision/peer_message.h
@@ -118,6 +118,17 @@
   Duration refusesFor{0};
 };
 
+/// What an upstream has named for the requests of all hosts together.
+struct UpstreamLimit {
+  std::string upstream;
+  /// Start time of the incarnation (wall clock, ms).
+  std::int64_t startedAtMillis = 0;
+  /// Requests a second; not set if it has stopped naming a limit.
+  std::optional<double> perSecond;
+  /// Time since it said so.
+  Duration age{0};
+};
+
 /// State of a serving host, sent to its peers several times per second.
 struct HostHeartbeat {
   /// State of the store up to which the sender's replica is complete.
@@ -138,6 +149,8 @@
   std::vector<StreamOrigin> origins;
   /// Prompt parts that are or were quarantined.
   std::vector<PartQuarantine> quarantines;
+  /// Limits that upstreams have named, or have ceased to name a short time ago.
+  std::vector<UpstreamLimit> limits;
 };
 
 /// Submits jobs to the batching host of their pools. Times are sent as time
@@ -248,6 +261,27 @@
   bool granted = false;
 };
 
+/// Limits that have changed.
+struct UpstreamLimitUpdate {
+  std::vector<UpstreamLimit> limits;
+};
+
+/// Asks for the permit to send one request to an upstream that has named a
+/// limit.
+struct PermitRequest {
+  /// Assigned by the sender; the reply carries it.
+  std::uint64_t number = 0;
+  /// As the sender knows it.
+  UpstreamLimit limit;
+};
+
+struct PermitReply {
+  std::uint64_t number = 0;
+  bool granted = false;
+  /// When to ask again if it is not granted.
+  Duration retryIn{0};
+};
+
 using PeerMessage =
     std::variant<Ping, Ack, BundleRequest, BundleReply, LedgerForward,
                  LedgerForwardReply, HostHeartbeat, JobSubmit, JobCancel,
@@ -255,7 +289,8 @@
                  ReplicaReply, StoreVersionUpdate, OperatorConfigurationRequest,
                  OperatorConfigurationReply, StreamOriginsUpdate,
                  StreamOriginQuery, StreamOriginReply, PartCrashReport,
-                 PartQuarantineUpdate, PartTrialRequest, PartTrialReply>;
+                 PartQuarantineUpdate, PartTrialRequest, PartTrialReply,
+                 UpstreamLimitUpdate, PermitRequest, PermitReply>;
 
 } // namespace auburnspring
 
--- a/include/auburnspring/decision/upstream_state.h
+++ b/include/auburnspring/decision/upstream_state.h
@@ -2,8 +2,10 @@
 #define AUBURNSPRING_DECISION_UPSTREAM_STATE_H
 
 #include "auburnspring/base/time.h"
+#include "auburnspring/decision/request_limit.h"
 #include "auburnspring/decision/upstream_entry.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -33,9 +35,10 @@
   /// The upstream has refused a request of this host and wants no other before
   /// this time.
   TimePoint refusesUntil;
-  /// Requests a second that it takes of all hosts together, as it named last in
-  /// a response to this host.
-  std::optional<double> requestLimit;
+  /// What it has named for the requests of all hosts together.
+  RequestLimit requestLimit;
+  /// This host gets no permit to send it a request before this time.
+  TimePoint limitedUntil;
   /// As reported by a peer, to which it has refused a request. A hint: the
   /// upstream may still take requests of this host.
   TimePoint refusesPeersUntil;
@@ -58,9 +61,13 @@
   /// End of the current ejection; no new work before it.
   TimePoint ejectedUntil;
 
+  /// It takes no request of this host before this time.
+  TimePoint unavailableUntil() const {
+    return std::max(refusesUntil, limitedUntil);
+  }
   /// False if nothing may be sent to it, however few the alternatives are.
   bool mayBeSentWork(TimePoint now) const {
-    return !isLeaving && now >= refusesUntil;
+    return !isLeaving && now >= unavailableUntil();
   }
   bool acceptsWork(TimePoint now) const {
     return mayBeSentWork(now) && now >= ejectedUntil;
--- a/include/auburnspring/serving/active_request.h
+++ b/include/auburnspring/serving/active_request.h
@@ -95,6 +95,9 @@
   EngineChoice selectUpstream(const std::vector<std::string> &inputs,
                               absl::Span<const std::string> avoid);
   void startAttempt(const EngineChoice &choice);
+  /// The upstream of the choice names a limit, under which this request has got
+  /// a permit or not.
+  void onPermit(const EngineChoice &choice, bool granted);
   EngineSpeedEstimator &engineSpeed() const {
     return context_->engineSpeeds[poolName_];
   }
@@ -159,6 +162,8 @@
   std::vector<std::string> partNames_;
   /// This request is the one with a quarantined part that is let through.
   bool isTrial_ = false;
+  /// The next attempt waits for a permit of an upstream that names a limit.
+  bool awaitsPermit_ = false;
   TimePoint deadline_;
   /// Target time of the response or of a stream's first event.
   TimePoint targetTime_;
--- a/include/auburnspring/serving/attempt.h
+++ b/include/auburnspring/serving/attempt.h
@@ -65,6 +65,7 @@
   void setSound() { isSound_ = true; }
 
   const UpstreamState &upstream() const { return *upstream_; }
+  const UpstreamStatePtr &upstreamState() const { return upstream_; }
   UpstreamState *mutableUpstream() { return upstream_.get(); }
   bool hasHead() const { return head_.status != 0; }
   const http::ResponseHead &head() const { return head_; }
--- a/include/auburnspring/serving/dialect.h
+++ b/include/auburnspring/serving/dialect.h
@@ -66,6 +66,8 @@
   bool isNotRun = false;
   /// An instance other than the expected one listens at the address.
   bool isMisdirected = false;
+  /// Status 2xx.
+  bool isSuccess = false;
   /// The response carries the upstream's signature.
   bool isSigned = false;
   /// The body has a content encoding, so it is not the one the upstream sent.
@@ -74,8 +76,8 @@
   bool areInputsGone = false;
   /// The upstream states that it is leaving.
   bool isLeaving = false;
-  /// Requests a second that the upstream takes of all hosts together; not set if
-  /// it names no limit.
+  /// Requests a second that the upstream takes of all hosts together; not set
+  /// if it names no limit.
   std::optional<double> requestLimit;
   /// The upstream wants no further request of this host for this time; 0 if it
   /// does not say so.
--- a/include/auburnspring/serving/piece_dispatcher.h
+++ b/include/auburnspring/serving/piece_dispatcher.h
@@ -6,6 +6,7 @@
 #include "auburnspring/http/client_call.h"
 #include "auburnspring/serving/dialect.h"
 #include "auburnspring/serving/peer_network.h"
+#include "auburnspring/serving/request_limit_exchange.h"
 
 #include <asio/steady_timer.hpp>
 
@@ -36,6 +37,7 @@
 
   PieceDispatcher(asio::io_context &io, const Dialect *dialect,
                   PeerNetwork *peers, UpstreamRegistry *registry,
+                  RequestLimitExchange *requestLimits,
                   BatchLimitsLookup limits);
 
   /// Submits a job of a request of this host. `onOutcome` is called once,
@@ -126,6 +128,10 @@
   void deliver(JobOutcome outcome);
   PoolBatcher &batcherFor(const std::string &pool);
   void dispatchBatches(const std::string &pool);
+  /// Notes when the pool's upstreams that name a limit can take a call.
+  void updateLimits(const std::string &pool, TimePoint now);
+  /// A permit may have come up since the last dispatch.
+  void dispatchIfLimited(const std::string &pool);
   void startBatch(const std::string &pool, const PieceBatch &batch);
   void endBatch(std::uint64_t number, http::CallStatus callStatus,
                 std::string_view failure);
@@ -138,6 +144,7 @@
   const Dialect *dialect_;
   PeerNetwork *peers_;
   UpstreamRegistry *registry_;
+  RequestLimitExchange *requestLimits_;
   BatchLimitsLookup batchLimits_;
   std::map<JobKey, OutstandingJob> outstanding_;
   std::map<std::string, std::unique_ptr<PoolBatcher>> poolBatchers_;
--- a/include/auburnspring/serving/serving_host.h
+++ b/include/auburnspring/serving/serving_host.h
@@ -86,6 +86,7 @@
   const Dialect *dialect_;
   ServingContext context_;
   PeerNetwork peers_;
+  RequestLimitExchange requestLimits_;
   PieceDispatcher pieceDispatcher_;
   StreamOriginExchange streamOrigins_;
   PartGuardExchange partGuard_;
--- a/include/auburnspring/serving/serving_metrics.h
+++ b/include/auburnspring/serving/serving_metrics.h
@@ -33,6 +33,9 @@
   void countResumption(const std::string &outcome);
   /// Counts a change of a prompt part's quarantine.
   void countQuarantine(const std::string &change);
+  /// Counts a permit that was asked for, to send a request to an upstream that
+  /// names a limit.
+  void countPermit(const std::string &pool, bool granted);
   /// Sets a gauge that is updated on each scrape.
   void set(const std::string &name, double value);
 
@@ -50,6 +53,7 @@
   prometheus::Family<prometheus::Counter> *abortedStreams_;
   prometheus::Family<prometheus::Counter> *resumptions_;
   prometheus::Family<prometheus::Counter> *quarantines_;
+  prometheus::Family<prometheus::Counter> *permits_;
   prometheus::Family<prometheus::Gauge> *state_;
 };
 
--- a/src/auburnspring/decision/piece_batcher.cpp
+++ b/src/auburnspring/decision/piece_batcher.cpp
@@ -367,8 +367,8 @@
     if (upstream.mayBeSentWork(now))
       return now;
     if (!upstream.isLeaving)
-      earliest = std::min(earliest.value_or(upstream.refusesUntil),
-                          upstream.refusesUntil);
+      earliest = std::min(earliest.value_or(upstream.unavailableUntil()),
+                          upstream.unavailableUntil());
   }
   return earliest.value_or(now);
 }
--- a/src/auburnspring/decision/upstream_registry.cpp
+++ b/src/auburnspring/decision/upstream_registry.cpp
@@ -111,8 +111,8 @@
   std::optional<TimePoint> earliest;
   for (const UpstreamStatePtr &upstream : pool(name))
     if (!upstream->isLeaving && hasVersion(*upstream, softwareVersion))
-      earliest = std::min(earliest.value_or(upstream->refusesUntil),
-                          upstream->refusesUntil);
+      earliest = std::min(earliest.value_or(upstream->unavailableUntil()),
+                          upstream->unavailableUntil());
   return earliest ? std::max(Duration(0), *earliest - now) : Duration(0);
 }
 
--- a/src/auburnspring/serving/active_request_attempts.cpp
+++ b/src/auburnspring/serving/active_request_attempts.cpp
@@ -59,7 +59,7 @@
       onDeadline();
     return;
   }
-  if (holdIfQuarantined())
+  if (awaitsPermit_ || holdIfQuarantined())
     return;
   const EngineChoice choice = selectUpstream(plan_.finalResults());
   if (choice.engine == nullptr) {
@@ -71,7 +71,24 @@
       return refuse(502, missingUpstreamReason());
     return refuseWithoutUpstream();
   }
-  startAttempt(choice);
+  if (!choice.engine->requestLimit.isLimited())
+    return startAttempt(choice);
+  awaitsPermit_ = true;
+  context_->requestLimits->acquire(
+      choice.engine, [weak = weak_from_this(), choice](bool granted) {
+        if (const auto self = weak.lock())
+          self->onPermit(choice, granted);
+      });
+}
+
+void ActiveRequest::onPermit(const EngineChoice &choice, bool granted) {
+  awaitsPermit_ = false;
+  if (done_)
+    return;
+  if (granted && timeLeft() >= MinAttemptTime)
+    return startAttempt(choice);
+  // Another upstream may have room.
+  dispatch();
 }
 
 ForwardingParams
@@ -132,6 +149,8 @@
 void ActiveRequest::onHead(Attempt *attempt) {
   applyUpstreamStatements(attempt->responseInfo(), attempt->mutableUpstream(),
                           &context_->registry, steadyNow());
+  context_->requestLimits->onResponse(
+      attempt->responseInfo(), attempt->upstreamState(), attempt->startedAt());
   const bool isOnly = attempts_.size() == 1;
   const bool otherBegan =
       !streamStarted_ &&
--- a/src/auburnspring/serving/piece_dispatcher.cpp
+++ b/src/auburnspring/serving/piece_dispatcher.cpp
@@ -34,9 +34,11 @@
 
 PieceDispatcher::PieceDispatcher(asio::io_context &io, const Dialect *dialect,
                                  PeerNetwork *peers, UpstreamRegistry *registry,
+                                 RequestLimitExchange *requestLimits,
                                  BatchLimitsLookup limits)
     : io_(io), dialect_(dialect), peers_(peers), registry_(registry),
-      batchLimits_(std::move(limits)), releaseTimer_(io) {}
+      requestLimits_(requestLimits), batchLimits_(std::move(limits)),
+      releaseTimer_(io) {}
 
 void PieceDispatcher::submit(StageJob job, OutcomeHandler onOutcome) {
   job.host = peers_->self();
@@ -226,6 +228,7 @@
 void PieceDispatcher::dispatchBatches(const std::string &pool) {
   const TimePoint now = steadyNow();
   PoolBatcher &poolBatcher = batcherFor(pool);
+  updateLimits(pool, now);
   for (const PieceBatch &batch : poolBatcher.batcher.dispatch(now))
     startBatch(pool, batch);
   queueRelease(poolBatcher.batcher.takeUnclaimedResults());
@@ -248,10 +251,27 @@
       });
 }
 
+void PieceDispatcher::updateLimits(const std::string &pool, TimePoint now) {
+  for (const UpstreamStatePtr &upstream : registry_->pool(pool))
+    if (upstream->requestLimit.isLimited())
+      upstream->limitedUntil = now + upstream->requestLimit.timeToPermit(now);
+}
+
+void PieceDispatcher::dispatchIfLimited(const std::string &pool) {
+  const std::vector<UpstreamStatePtr> &members = registry_->pool(pool);
+  const bool isLimited = std::any_of(
+      members.begin(), members.end(), [](const UpstreamStatePtr &upstream) {
+        return upstream->requestLimit.isLimited();
+      });
+  if (isLimited)
+    dispatchBatches(pool);
+}
+
 void PieceDispatcher::startBatch(const std::string &pool,
                                  const PieceBatch &batch) {
   const std::uint64_t number = nextBatch_++;
   BatchCall &call = batches_[number];
+  requestLimits_->takeOwn(batch.upstream.get());
   call.pool = pool;
   call.items = batch.items.size();
   call.startedAt = steadyNow();
@@ -271,6 +291,7 @@
     entry.notRun = response.isNotRun;
     applyUpstreamStatements(response, entry.upstream.get(), registry_,
                             steadyNow());
+    requestLimits_->onResponse(response, entry.upstream, entry.startedAt);
   };
   callbacks.onBody = [this, number](std::string_view bytes) {
     batches_.at(number).body.append(bytes);
@@ -371,8 +392,15 @@
   for (auto &entry : std::exchange(queuedReleases_, {})) {
     const std::optional<Endpoint> endpoint = parseEndpoint(entry.first);
     // An upstream that reuses the address does not have the results.
-    if (!endpoint || registry_->byEndpoint(*endpoint) == nullptr)
+    const UpstreamStatePtr upstream =
+        endpoint ? registry_->byEndpoint(*endpoint) : nullptr;
+    if (!upstream)
+      continue;
+    // The results wait for a permit; batches that come meanwhile go first.
+    if (!requestLimits_->takeOwn(upstream.get())) {
+      queuedReleases_[entry.first] = std::move(entry.second);
       continue;
+    }
     const std::uint64_t number = nextRelease_++;
     const auto onReleased = [this, number, results = entry.second] {
       releases_.erase(number);
@@ -429,6 +457,11 @@
 }
 
 void PieceDispatcher::tick(TimePoint now) {
+  if (!queuedReleases_.empty())
+    queueRelease({});
+  for (const auto &entry : poolBatchers_)
+    if (entry.second->batcher.hasQueuedJobs())
+      dispatchIfLimited(entry.first);
   probeUnresponsiveHosts(now);
   transferReassigned(now);
   std::vector<JobKey> toResubmit;
--- a/src/auburnspring/serving/serving_host.cpp
+++ b/src/auburnspring/serving/serving_host.cpp
@@ -68,15 +68,16 @@
           [this](const std::string &host) {
             pieceDispatcher_.onPeerDisconnected(host);
           }),
-      pieceDispatcher_(io, dialect, &peers_, &context_.registry,
-                       [this](const std::string &pool) -> const BatchLimits * {
-                         const ServedPool *found =
-                             context_.table ? context_.table->pool(pool)
-                                            : nullptr;
-                         return found != nullptr && found->batches
-                                    ? &*found->batches
-                                    : nullptr;
-                       }),
+      requestLimits_(io, &peers_, &context_.registry, &context_.metrics,
+                     randomSeed()),
+      pieceDispatcher_(
+          io, dialect, &peers_, &context_.registry, &requestLimits_,
+          [this](const std::string &pool) -> const BatchLimits * {
+            const ServedPool *found =
+                context_.table ? context_.table->pool(pool) : nullptr;
+            return found != nullptr && found->batches ? &*found->batches
+                                                      : nullptr;
+          }),
       streamOrigins_(io, &peers_),
       partGuard_(io, &peers_, store, dialect->quarantinePrefix(),
                  &context_.metrics),
@@ -109,6 +110,7 @@
   context_.pieceDispatcher = &pieceDispatcher_;
   context_.streamOrigins = &streamOrigins_;
   context_.partGuard = &partGuard_;
+  context_.requestLimits = &requestLimits_;
   context_.random.seed(randomSeed());
   context_.retryQuota.setLimits(
       {settings_.retryRatio, settings_.retrySlack, settings_.retryWindow});
@@ -297,6 +299,12 @@
     return streamOrigins_.onQuery(from, *query);
   if (const auto *reply = std::get_if<StreamOriginReply>(&message))
     return streamOrigins_.onReply(from, *reply);
+  if (const auto *request = std::get_if<PermitRequest>(&message))
+    return requestLimits_.onPermitRequest(from, *request);
+  if (const auto *reply = std::get_if<PermitReply>(&message))
+    return requestLimits_.onPermitReply(*reply);
+  if (const auto *update = std::get_if<UpstreamLimitUpdate>(&message))
+    return requestLimits_.onUpdate(from, *update);
   if (const auto *report = std::get_if<PartCrashReport>(&message))
     return partGuard_.onReport(from, *report);
   if (const auto *update = std::get_if<PartQuarantineUpdate>(&message))
@@ -328,6 +336,7 @@
     applyUpstreamNotice(notice, from, &context_.registry, now);
   streamOrigins_.onOrigins(heartbeat.origins);
   partGuard_.onHeartbeat(from, heartbeat.quarantines);
+  requestLimits_.onHeartbeat(from, heartbeat.limits);
   onPeerStoreVersion(from, heartbeat.storeVersion, heartbeat.storeVersionAge);
   requestNewerConfiguration(from, heartbeat);
 }
@@ -396,6 +405,7 @@
   HostHeartbeat heartbeat;
   heartbeat.origins = streamOrigins_.takeForHeartbeat();
   heartbeat.quarantines = partGuard_.statesForHeartbeat();
+  heartbeat.limits = requestLimits_.limitsForHeartbeat();
   heartbeat.storeVersion = follower_.replica().version();
   heartbeat.storeVersionAge = follower_.versionAge();
   heartbeat.storeReachable = follower_.isReachable();
@@ -466,6 +476,8 @@
   metrics.set("stage_jobs_outstanding",
               static_cast<double>(pieceDispatcher_.outstandingCount()));
   metrics.set("stream_origins", static_cast<double>(streamOrigins_.size()));
+  metrics.set("limited_upstreams",
+              static_cast<double>(requestLimits_.limitedCount()));
   metrics.set("quarantined_parts",
               static_cast<double>(partGuard_.quarantinedCount()));
   metrics.set("suspected_parts",
--- a/src/auburnspring/serving/serving_metrics.cpp
+++ b/src/auburnspring/serving/serving_metrics.cpp
@@ -54,6 +54,11 @@
                .Name("auburnspring_part_quarantines_total")
                .Help("Changes of the quarantine of prompt parts, by change")
                .Register(registry_)),
+      permits_(&prometheus::BuildCounter()
+                    .Name("auburnspring_permits_total")
+                    .Help("Permits asked for to send a request to an upstream "
+                          "that names a limit, by pool")
+                    .Register(registry_)),
       state_(&prometheus::BuildGauge()
                   .Name("auburnspring_state")
                   .Help("Current state of the host")
@@ -97,6 +102,11 @@
   quarantines_->Add({{"change", change}}).Increment();
 }
 
+void ServingMetrics::countPermit(const std::string &pool, bool granted) {
+  permits_->Add({{"pool", pool}, {"granted", granted ? "yes" : "no"}})
+      .Increment();
+}
+
 void ServingMetrics::set(const std::string &name, double value) {
   state_->Add({{"of", name}}).Set(value);
 }
--- a/src/auburnspring/serving/upstream_statements.cpp
+++ b/src/auburnspring/serving/upstream_statements.cpp
@@ -28,13 +28,6 @@
     return;
   if (response.isLeaving)
     markLeaving(upstream, registry, "response");
-  if (response.requestLimit != upstream->requestLimit) {
-    upstream->requestLimit = response.requestLimit;
-    logEvent(LogLevel::Info, "upstream_limit",
-             {{"upstream", upstream->entry.id},
-              {"pool", upstream->entry.pool},
-              {"per_second", response.requestLimit.value_or(0)}});
-  }
   if (response.refusesFor <= Duration(0))
     return;
   upstream->refusesUntil =
--- a/src/auburnspring/wire/peer_codec.cpp
+++ b/src/auburnspring/wire/peer_codec.cpp
@@ -2,6 +2,7 @@
 
 #include "part_quarantine_codec.h"
 #include "peer_mac.h"
+#include "request_limit_codec.h"
 #include "stream_origin_codec.h"
 
 #include <absl/strings/str_cat.h>
@@ -171,7 +172,8 @@
                       {"loads", std::move(loads)},
                       {"notices", std::move(notices)},
                       {"origins", toJson(heartbeat.origins)},
-                      {"quarantines", toJson(heartbeat.quarantines)}},
+                      {"quarantines", toJson(heartbeat.quarantines)},
+                      {"limits", toJson(heartbeat.limits)}},
                      heartbeat.storeVersion);
 }
 
@@ -200,6 +202,7 @@
   heartbeat.origins = readOrigins(json);
   heartbeat.quarantines =
       readQuarantines(json.value("quarantines", nlohmann::json::array()));
+  heartbeat.limits = readLimits(json.value("limits", nlohmann::json::array()));
   return heartbeat;
 }
 
@@ -397,6 +400,12 @@
   case 23:
     return PeerMessage(PartTrialReply{json.at("n").get<std::uint64_t>(),
                                       json.at("granted").get<bool>()});
+  case 24:
+    return PeerMessage(UpstreamLimitUpdate{readLimits(json)});
+  case 25:
+    return PeerMessage(readPermitRequest(json));
+  case 26:
+    return PeerMessage(readPermitReply(json));
   default:
     return absl::UnimplementedError(
         absl::StrCat("unknown peer message kind ", kind));
--- a/src/auburnspring/wire/peer_codec_test.cpp
+++ b/src/auburnspring/wire/peer_codec_test.cpp
@@ -137,6 +137,7 @@
                               {{"u", 1, 2, 3}},
                               {{"v", 1700, true, Duration(5)}},
                               {},
+                              {},
                               {}});
   CHECK(heartbeat.storeVersion == StoreVersion{3, 9});
   CHECK(heartbeat.storeVersionAge == Duration(6));
