The own interface's readers take unframed responses, and no event cut short

Cause: the call reader of the product's own interface took every response without a length for truncated; its stream reader took a line for whole that the end of the connection had cut, and an event without its empty line. What callers saw: a call to an upstream that frames by closing never succeeded; a stream that broke off within its last event could look complete. Change: a body without length counts if its connection ends orderly and it parses; an event counts from its empty line on.

--- a/src/auburnspring/upstream/attempt_runner.cpp
+++ b/src/auburnspring/upstream/attempt_runner.cpp
@@ -33,6 +33,7 @@
 
 /// Reads a line without its end of at most `maxBytes` bytes. Returns false at
 /// the end of the stream; a line that is too long is returned in part.
+/// False at the end of the stream, also within a line.
 bool readLine(std::istream &stream, std::size_t maxBytes, std::string *line) {
   line->clear();
   char c = 0;
@@ -41,7 +42,7 @@
       return true;
     line->push_back(c);
   }
-  return !line->empty();
+  return line->size() > maxBytes;
 }
 
 Poco::Timespan toTimespan(Duration duration) { return {duration.count()}; }
@@ -131,8 +132,14 @@
       if (body.size() > options_.maxResponseBytes)
         return unbounded("body", body.size());
     }
+    // A body without a length ends with its connection, unless that is reset.
+    // That it is whole shows when it is parsed.
     const std::streamsize contentLength = response.getContentLength();
-    if (contentLength != static_cast<std::streamsize>(body.size()))
+    const bool hasLength =
+        contentLength != Poco::Net::HTTPMessage::UNKNOWN_CONTENT_LENGTH;
+    if (stream.bad() ||
+        (hasLength &&
+         contentLength != static_cast<std::streamsize>(body.size())))
       return failure(FailureKind::ResponseLost, "the response was truncated");
     return parseStageResponse(attempt_.attempt,
                               static_cast<int>(response.getStatus()), body);
@@ -143,17 +150,23 @@
     std::string line;
     // Since the last event with text.
     std::size_t idleBytes = 0;
+    // An event whose empty line has not come is not whole.
+    std::optional<CompletionEvent> event;
     while (readLine(stream, options_.maxResponseBytes, &line)) {
       idleBytes += line.size() + 1;
       if (idleBytes > options_.maxResponseBytes)
         return unbounded("event", idleBytes);
       if (!line.empty() && line.back() == '\r')
         line.pop_back();
-      if (!absl::StartsWith(line, "data: "))
+      if (absl::StartsWith(line, "data: ")) {
+        event = parseCompletionEvent(absl::string_view(line).substr(6));
+        if (!event)
+          return failure(FailureKind::ResponseLost,
+                         "the stream has a malformed event");
+      }
+      if (!line.empty() || !event)
         continue;
-      const auto event =
-          parseCompletionEvent(absl::string_view(line).substr(6));
-      if (!event || event->attempt != toString(attempt_.attempt))
+      if (event->attempt != toString(attempt_.attempt))
         return failure(FailureKind::ResponseLost,
                        "the stream has a malformed event");
       if (event->offset != text.size())
@@ -169,6 +182,7 @@
                                 event->usage};
       (*onEvent_)(
           AttemptProgress{attempt_.attempt, event->offset, event->text});
+      event.reset();
     }
     return failure(FailureKind::ResponseLost,
                    "the stream ended without a final event");
--- a/src/auburnspring/upstream/attempt_runner_test.cpp
+++ b/src/auburnspring/upstream/attempt_runner_test.cpp
@@ -5,6 +5,7 @@
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
 
+#include <functional>
 #include <future>
 #include <string>
 #include <thread>
@@ -87,8 +88,61 @@
   return event;
 }
 
+/// Sends a response without length or chunks, then closes or resets the
+/// connection, and returns how the attempt ended.
+Event runAgainstUnframed(
+    StageKind kind, const std::function<std::string(const AttemptId &)> &body,
+    bool resets) {
+  Poco::Net::ServerSocket server(Poco::Net::SocketAddress("127.0.0.1", 0));
+  const StartAttempt start = attemptAt(server.address().port(), kind, Deadline);
+  std::thread upstream([&] {
+    Poco::Net::StreamSocket socket = server.acceptConnection();
+    char buffer[4096];
+    socket.receiveBytes(buffer, sizeof buffer);
+    send(&socket,
+         "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + body(start.attempt));
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    if (resets) {
+      socket.setLinger(true, 0);
+      return socket.close();
+    }
+    socket.shutdownSend();
+    while (socket.receiveBytes(buffer, sizeof buffer) > 0) {
+    }
+  });
+  Event event = runAttempt(start);
+  upstream.join();
+  return event;
+}
+
 } // namespace
 
+// Guards against responses that end early and look complete (MIXED, ORDER).
+TEST_CASE("a response without length is complete only at an orderly end") {
+  const auto call = [](const AttemptId &id) {
+    return fmt::format("{{\"attempt\":\"{}\",\"result\":\"r\"}}", toString(id));
+  };
+  const auto stream = [](const AttemptId &id) {
+    return completionEvent(id, 0, "abc", "null") +
+           completionEvent(id, 3, "", "\"stop\"");
+  };
+  const auto within = [&](const AttemptId &id) {
+    const std::string whole = stream(id);
+    return whole.substr(0, whole.size() - 1);
+  };
+  const auto isSuccess = [](const Event &event) {
+    return std::holds_alternative<AttemptSucceeded>(event);
+  };
+  CHECK(isSuccess(runAgainstUnframed(StageKind::Call, call, false)));
+  CHECK_FALSE(isSuccess(runAgainstUnframed(StageKind::Call, call, true)));
+  CHECK_FALSE(isSuccess(runAgainstUnframed(
+      StageKind::Call,
+      [&](const AttemptId &id) { return call(id).substr(0, 9); }, false)));
+  CHECK(isSuccess(runAgainstUnframed(StageKind::Generate, stream, false)));
+  CHECK_FALSE(
+      isSuccess(runAgainstUnframed(StageKind::Generate, within, false)));
+}
+
 // Guards against a sound upstream's response that is dropped because it is
 // silent for more than a second.
 TEST_CASE("an attempt outlasts its upstream's silence in mid-stream") {
