--- a/src/auburnspring/decision/upstream_health.cpp
+++ b/src/auburnspring/decision/upstream_health.cpp
@@ -32,12 +32,7 @@
   upstream->ejectedUntil = now + ejection;
 }
 
-} // namespace
-
-void recordResponse(UpstreamState *upstream, Duration elapsed, TimePoint now) {
-  decayFailures(upstream, now);
-  upstream->failureRate *= 1 - OutcomeWeight;
-  upstream->consecutiveFailures = 0;
+void addLatency(UpstreamState *upstream, Duration elapsed) {
   upstream->latency =
       upstream->latency == Duration(0)
           ? elapsed
@@ -47,6 +42,20 @@
                 static_cast<double>(elapsed.count()) * OutcomeWeight));
 }
 
+} // namespace
+
+void recordResponse(UpstreamState *upstream, Duration elapsed, TimePoint now) {
+  decayFailures(upstream, now);
+  upstream->failureRate *= 1 - OutcomeWeight;
+  upstream->consecutiveFailures = 0;
+  addLatency(upstream, elapsed);
+}
+
+void recordOvertaken(UpstreamState *upstream, Duration elapsed) {
+  if (elapsed > upstream->latency)
+    addLatency(upstream, elapsed);
+}
+
 void recordUpstreamFailure(UpstreamState *upstream, TimePoint now) {
   decayFailures(upstream, now);
   upstream->failureRate += (1 - upstream->failureRate) * OutcomeWeight;
--- a/src/auburnspring/serving/active_request.cpp
+++ b/src/auburnspring/serving/active_request.cpp
@@ -144,6 +144,10 @@
   const int status = attempt->head().status;
   respondingUpstream_ = attempt->upstream().entry.id;
   noteSound(attempt);
+  const TimePoint now = steadyNow();
+  for (const auto &other : attempts_)
+    if (!other->hasEnded() && other->startedAt() < attempt->startedAt())
+      recordOvertaken(other->mutableUpstream(), now - other->startedAt());
   exchange_->respond(context_->dialect->callerResponseHead(attempt->head()),
                      attempt->body());
   finish(status < 500 ? "complete" : "upstream_failed", status, "");
