Soak: upstreams that name request limits

Cause: no run of the soak had an upstream that names a limit. What callers saw: nothing changes for them. Change: fault set 5. Upstreams name 1 to 8 requests a second for five seconds and more, also in the phase in which hosts stay connected. Checked (LIMIT): from 3 s after the first naming, arrivals in 4 s from connected hosts that were told half a second before stay within one and a half times what the limit allows, and five.

--- a/soak/fault_injector.cpp
+++ b/soak/fault_injector.cpp
@@ -17,6 +17,8 @@
 constexpr Duration MaxStreamFaultGap = std::chrono::milliseconds(500);
 constexpr Duration MinFaultTime = std::chrono::milliseconds(100);
 constexpr Duration MaxFaultTime = std::chrono::milliseconds(4000);
+/// How long an upstream names a limit at least.
+constexpr Duration MinLimitTime = std::chrono::seconds(5);
 constexpr Duration BurstInterval = std::chrono::milliseconds(200);
 /// How long the store is away at most before it is restored from a copy, and
 /// from then until the operator and the upstreams have written again.
@@ -35,7 +37,8 @@
                              GuaranteeChecker *checker, std::uint64_t seed,
                              int faultSet)
     : io_(io), cluster_(cluster), checker_(checker), random_(seed),
-      kinds_(kindsOf(faultSet)), maxGap_(MaxFaultGap) {}
+      kinds_(kindsOf(faultSet)), hasLimits_(faultSet >= LimitsFaultSet),
+      maxGap_(MaxFaultGap) {}
 
 std::vector<FaultInjector::Kind> FaultInjector::kindsOf(int faultSet) {
   using Self = FaultInjector;
@@ -80,6 +83,8 @@
       {"release_worker", &Self::releaseUpstream, 3},
       {"crash_worker", &Self::crashUpstream, 3},
       {"crash_worker", &Self::crashUpstream, 3},
+      {"workers_name_limits", &Self::upstreamsNameLimits, LimitsFaultSet},
+      {"workers_name_limits", &Self::upstreamsNameLimits, LimitsFaultSet},
   };
   kinds.erase(
       std::remove_if(kinds.begin(), kinds.end(),
@@ -98,6 +103,8 @@
             {"release_worker", &Self::releaseUpstream},
             {"crash_worker", &Self::crashUpstream},
             {"reset_callers", &Self::resetCallersOfFirstHost}};
+  if (hasLimits_)
+    kinds_.push_back({"workers_name_limits", &Self::upstreamsNameLimits});
   inject(span);
 }
 
@@ -308,6 +315,21 @@
 void FaultInjector::upstreamsRefuseHosts(Duration span) {
   setUpstreamFaults(FaultMode::RefusesHost, span);
 }
+void FaultInjector::upstreamsNameLimits(Duration span) {
+  static constexpr double Limits[] = {1, 1.5, 3, 8};
+  std::uniform_int_distribution<std::size_t> any(0, std::size(Limits) - 1);
+  SoakUpstream *chosen = randomUpstream();
+  platform::FakeUpstreamServer *server = chosen->server.get();
+  if (server->requestLimit)
+    return;
+  server->requestLimit = Limits[any(random_)];
+  checker_->onLimit(server->id(), server->requestLimit, steadyNow());
+  // Long enough that it must be kept for some seconds.
+  runAfter(span + MinLimitTime, [this, server] {
+    server->requestLimit.reset();
+    checker_->onLimit(server->id(), std::nullopt, steadyNow());
+  });
+}
 void FaultInjector::upstreamsFail(Duration span) {
   setUpstreamFaults(FaultMode::Fails, span);
 }
--- a/soak/fault_injector.h
+++ b/soak/fault_injector.h
@@ -14,11 +14,13 @@
 public:
   /// Kinds of faults that were added together. A seed's sequence depends on the
   /// kinds, so a seed that failed is kept with the set it failed with.
-  static constexpr int LatestFaultSet = 4;
+  static constexpr int LatestFaultSet = 5;
   /// First set with upstreams of several software versions.
   static constexpr int VersionsFaultSet = 3;
   /// From this set on, one prompt part crashes upstreams.
   static constexpr int CrashingPartFaultSet = 4;
+  /// From this set on, upstreams name request limits.
+  static constexpr int LimitsFaultSet = 5;
 
   FaultInjector(asio::io_context &io, SoakCluster *cluster,
                 GuaranteeChecker *checker, std::uint64_t seed,
@@ -80,6 +82,7 @@
   void storeRestored(Duration span);
   void upstreamsRejectRequests(Duration span);
   void upstreamsRefuseHosts(Duration span);
+  void upstreamsNameLimits(Duration span);
   void upstreamsFail(Duration span);
   void upstreamsDropResponses(Duration span);
   void upstreamsHang(Duration span);
@@ -100,6 +103,8 @@
   GuaranteeChecker *checker_;
   std::mt19937_64 random_;
   std::vector<Kind> kinds_;
+  /// Upstreams name request limits in this run.
+  bool hasLimits_ = false;
   Duration maxGap_;
 };
 
--- a/soak/guarantee_checker.cpp
+++ b/soak/guarantee_checker.cpp
@@ -78,7 +78,16 @@
                     fmt::format("{} reached {} {} ms after it started to drain",
                                 id, upstream, toMillis(at - draining->second)));
   checkStatements(call, upstream, at);
-  crashingPart_.onArrival(call.sent, isConnected(call.sent.host, at), at);
+  const bool isUndisrupted = isConnected(call.sent.host, at);
+  crashingPart_.onArrival(call.sent, isUndisrupted, at);
+  limits_.onArrival(upstream, call.sent.host, isUndisrupted, at);
+}
+
+void GuaranteeChecker::onLimitNamed(const std::string &id,
+                                    const std::string &upstream, TimePoint at) {
+  const auto found = calls_.find(id);
+  if (found != calls_.end())
+    limits_.onNamed(upstream, found->second.sent.host, at);
 }
 
 bool GuaranteeChecker::Sender::operator<(const Sender &other) const {
@@ -369,6 +378,8 @@
   }
   for (std::string &violation : crashingPart_.violations())
     violations_.push_back(std::move(violation));
+  for (const std::string &violation : limits_.violations())
+    violations_.push_back(violation);
   recoveredShare_ =
       sent == 0 ? 0 : static_cast<double>(served) / static_cast<double>(sent);
   if (recoveredShare_ < MinRecoveredShare)
--- a/soak/guarantee_checker.h
+++ b/soak/guarantee_checker.h
@@ -4,6 +4,7 @@
 #include "soak/call_outcome.h"
 #include "soak/crashing_part_checker.h"
 #include "soak/disruption_log.h"
+#include "soak/limit_checker.h"
 #include "soak/sent_call.h"
 #include "soak/stream_checker.h"
 
@@ -77,6 +78,14 @@
   /// An upstream has crashed under the crashing part.
   void onPartCrash(TimePoint at) { crashingPart_.onCrash(at); }
 
+  /// An upstream begins to name a limit or ceases to; a response names it.
+  void onLimit(const std::string &upstream, std::optional<double> perSecond,
+               TimePoint at) {
+    limits_.onLimit(upstream, perSecond, at);
+  }
+  void onLimitNamed(const std::string &id, const std::string &upstream,
+                    TimePoint at);
+
   /// The host's process was paused, and resumed.
   void onPaused(const std::string &host, TimePoint at);
   void onResumed(const std::string &host, TimePoint at);
@@ -96,6 +105,7 @@
   std::size_t servedCount() const { return served_; }
   /// One line for each request that counts as lost, within the limit or beyond.
   const std::vector<std::string> &lostRequests() const { return lost_; }
+  const LimitChecker &limits() const { return limits_; }
   const StreamChecker &streams() const { return streams_; }
   const CrashingPartChecker &crashingPart() const { return crashingPart_; }
   /// Share of the requests sent after `recoveredAt` that were served.
@@ -150,6 +160,7 @@
   std::map<std::string, Call> calls_;
   StreamChecker streams_;
   CrashingPartChecker crashingPart_;
+  LimitChecker limits_;
   std::map<std::int64_t, TimePoint> publishedAt_;
   std::map<std::string, TimePoint> drainingSince_;
   /// Newest version that each incarnation of a host has served, and when.
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -54,7 +54,7 @@
   -f, --faults SECONDS how long faults are injected (12)
   -n, --hosts N        serving hosts (3)
   -c, --callers N      callers (24)
-  -k, --fault-set N    kinds of faults up to set N (4); seeds that failed with
+  -k, --fault-set N    kinds of faults up to set N (5); seeds that failed with
                        an earlier set are run with that one
   -d, --dir DIR        settings and logs of the processes (a new directory)
   -h, --help           show this text
@@ -181,12 +181,12 @@
     for (std::size_t i = 0; i < std::min(lines.size(), MaxPrintedViolations);
          ++i)
       fmt::print("trace seed={} {}\n", options.seed, lines[i]);
-  fmt::print("seed={} hosts={} sent={} served={} calm_share={:.3f} {} {} "
+  fmt::print("seed={} hosts={} sent={} served={} calm_share={:.3f} {} {} {} "
              "broken={} dir={}\n",
              options.seed, options.hosts, checker.sentCount(),
              checker.servedCount(), checker.recoveredShare(),
              checker.streams().summary(), checker.crashingPart().summary(),
-             violations.size(), options.directory);
+             checker.limits().summary(), violations.size(), options.directory);
   return violations.empty() ? ExitOk : ExitViolation;
 }
 
--- a/soak/soak_cluster.cpp
+++ b/soak/soak_cluster.cpp
@@ -232,6 +232,9 @@
   server->onLeavingStated = [this, id](const std::string &request) {
     checker_->onLeavingStated(request, id, steadyNow());
   };
+  server->onLimitNamed = [this, id](const std::string &request) {
+    checker_->onLimitNamed(request, id, steadyNow());
+  };
   server->onRefused = [this, id, server](const std::string &request) {
     checker_->onHostRefused(request, id, server->retryAfter, steadyNow());
   };
