Codec tests of quarantines, trials, limits and permits

Cause: the messages by which hosts decide together had no round-trip test. What callers saw: nothing changes for them. Change: fleet_decisions_codec_test. Result: each kind of peer message is read back as it was written.

--- /dev/null
+++ b/src/auburnspring/wire/fleet_decisions_codec_test.cpp
@@ -0,0 +1,81 @@
+#include "auburnspring/wire/peer_codec.h"
+
+#include <catch2/catch.hpp>
+
+using namespace auburnspring;
+
+// Messages in which hosts decide together: prompt parts that crash upstreams,
+// and limits that upstreams name.
+
+namespace {
+
+constexpr const char *Key = "a shared peer key";
+
+template <typename Message> Message roundTrip(const Message &message) {
+  const auto decoded =
+      decodeEnvelope(encodeEnvelope({"a", "b", 1, 1, message}, Key), Key);
+  REQUIRE(decoded.ok());
+  return std::get<Message>(decoded->message);
+}
+
+const PartQuarantine State = {
+    "5c1e", 3, 2, true, Duration(10), "i-1/17", Duration(-4), Duration(7)};
+const UpstreamLimit Limit = {"i-1", 1700, 1.3, Duration(9)};
+
+void checkEqual(const PartQuarantine &a, const PartQuarantine &b) {
+  CHECK(a.part == b.part);
+  CHECK(a.generation == b.generation);
+  CHECK(a.trials == b.trials);
+  CHECK(a.isConfirmed == b.isConfirmed);
+  CHECK(a.firstCrashAge == b.firstCrashAge);
+  CHECK(a.evidence == b.evidence);
+  CHECK(a.nextTrialIn == b.nextTrialIn);
+  CHECK(a.idleFor == b.idleFor);
+}
+
+void checkEqual(const UpstreamLimit &a, const UpstreamLimit &b) {
+  CHECK(a.upstream == b.upstream);
+  CHECK(a.startedAtMillis == b.startedAtMillis);
+  CHECK(a.perSecond == b.perSecond);
+  CHECK(a.age == b.age);
+}
+
+} // namespace
+
+TEST_CASE("quarantines and limits round-trip in heartbeats and updates") {
+  HostHeartbeat heartbeat;
+  heartbeat.quarantines = {State};
+  heartbeat.limits = {Limit};
+  const HostHeartbeat decoded = roundTrip(heartbeat);
+  REQUIRE(decoded.quarantines.size() == 1);
+  checkEqual(decoded.quarantines[0], State);
+  REQUIRE(decoded.limits.size() == 1);
+  checkEqual(decoded.limits[0], Limit);
+  checkEqual(roundTrip(PartQuarantineUpdate{{State}}).states.at(0), State);
+  checkEqual(roundTrip(UpstreamLimitUpdate{{Limit}}).limits.at(0), Limit);
+}
+
+TEST_CASE("crash reports and trials round-trip") {
+  const auto report =
+      roundTrip(PartCrashReport{{{"5c1e", "i-1", 1700, Duration(5), true}}});
+  REQUIRE(report.crashes.size() == 1);
+  CHECK(report.crashes[0].part == "5c1e");
+  CHECK(report.crashes[0].upstream == "i-1");
+  CHECK(report.crashes[0].startedAtMillis == 1700);
+  CHECK(report.crashes[0].age == Duration(5));
+  CHECK(report.crashes[0].isDistinguishing);
+  CHECK(roundTrip(PartTrialRequest{7, "5c1e"}).part == "5c1e");
+  CHECK(roundTrip(PartTrialReply{7, true}).granted);
+}
+
+TEST_CASE("permits round-trip, and a limit that has ended") {
+  const auto request = roundTrip(PermitRequest{8, Limit});
+  CHECK(request.number == 8);
+  checkEqual(request.limit, Limit);
+  const auto reply = roundTrip(PermitReply{8, false, Duration(30)});
+  CHECK_FALSE(reply.granted);
+  CHECK(reply.retryIn == Duration(30));
+  UpstreamLimit ended = Limit;
+  ended.perSecond.reset();
+  checkEqual(roundTrip(UpstreamLimitUpdate{{ended}}).limits.at(0), ended);
+}
