Holders serve prompt parts as well as streams, and their comment says so

Cause: on the last reading, the name and comment of StreamOriginHolders spoke of streams alone, though quarantines use it. What callers saw: nothing changes for them. Change: the comment; an include without a use. Evidence: the build; formatter. Result: names and behaviour as they were.

--- a/include/auburnspring/decision/crashing_part_detector.h
+++ b/include/auburnspring/decision/crashing_part_detector.h
@@ -7,7 +7,6 @@
 #include <absl/types/span.h>
 
 #include <cstddef>
-#include <map>
 #include <optional>
 #include <set>
 #include <string>
--- a/include/auburnspring/decision/stream_origin_holders.h
+++ b/include/auburnspring/decision/stream_origin_holders.h
@@ -12,8 +12,9 @@
 
 namespace auburnspring {
 
-/// Chooses which hosts of a large fleet hold the origins of streams, where
-/// heartbeats don't reach every host.
+/// Chooses which hosts of a large fleet hold the origins of streams, or what is
+/// known of a prompt part, where heartbeats don't reach every host. The `id`
+/// below is that of a stream, or the name of a part.
 class StreamOriginHolders {
 public:
   /// Hosts among which origins are spread. Few, so that what a host sends at a
