attempt_failed names the request by its path, caller and body

A digest of target, caller and body is logged with each attempt that fails, so that grep request= collects them from all hosts. Nothing is decided by it yet.

--- a/include/auburnspring/serving/active_request.h
+++ b/include/auburnspring/serving/active_request.h
@@ -158,6 +158,8 @@
   std::string organisation_;
   std::int64_t priority_ = 0;
   CallerRequest request_;
+  /// Known once the caller is; empty before that.
+  std::string requestName_;
   /// Names of the prompt's shared parts.
   std::vector<std::string> partNames_;
   /// This request is the one with a quarantined part that is let through.
--- a/src/auburnspring/serving/active_request.cpp
+++ b/src/auburnspring/serving/active_request.cpp
@@ -2,6 +2,7 @@
 
 #include "auburnspring/base/clock.h"
 #include "auburnspring/base/log.h"
+#include "auburnspring/decision/request_name.h"
 #include "auburnspring/decision/upstream_health.h"
 
 #include <asio/post.hpp>
@@ -31,6 +32,8 @@
   deadline_ = exchange_->receivedAt + DefaultTimeout;
   if (!admit())
     return;
+  requestName_ =
+      requestName(exchange_->head.target, organisation_, exchange_->body);
   exchange_->onDisconnect = [weak = weak_from_this()] {
     if (const auto self = weak.lock())
       self->onCallerDisconnected();
--- a/src/auburnspring/serving/active_request_attempts.cpp
+++ b/src/auburnspring/serving/active_request_attempts.cpp
@@ -284,6 +284,7 @@
               {"why", attempt->failureReason()},
               {"events", static_cast<long>(attempt->meter().eventCount())},
               {"parts", loggedParts()},
+              {"request", requestName_},
               {"ms", toMillis(now - attempt->startedAt())},
               {"failure_rate", upstream->failureRate},
               {"in_flight", static_cast<long>(upstream->inFlight)}});
