A request that crashes upstreams is known by path, caller and body, and held back

Cause: containment knows requests by the shared parts of their prompts, and one without a prompt by nothing, so each repeat under a new id was placed like any other; ends within 250 ms counted once, although a request's retries, hedges and repeats end as many upstreams within that time.

Change: a request is one more name beside its parts in the same exchange. Runs that began after the crash before count each; for a whole request three crashes at two moments suffice. A request remembered for a crash is not hedged. Its trial is asked for before its stages, 4 s, 2 min and 10 min after the quarantine. A host counts its own reports at once instead of with the next flush. Responses that state that they did not run prove nothing sound.

--- a/include/auburnspring/decision/part_crash.h
+++ b/include/auburnspring/decision/part_crash.h
@@ -8,10 +8,11 @@
 
 namespace auburnspring {
 
-/// An upstream broke off a response to a request with this prompt part before
-/// the request had proved sound.
+/// An upstream broke off a response to a request with this prompt part, or to
+/// this request, before it had proved sound.
 struct PartCrash {
-  /// Name of the part, from partName().
+  /// Name of the part, from partName(), or of the request as a whole, from
+  /// requestName().
   std::string part;
   /// The incarnation that broke off; several breaks of one incarnation are one
   /// crash.
@@ -22,6 +23,8 @@
   /// The request lacked a part that is suspected for the same crashes, so it
   /// tells the two apart.
   bool isDistinguishing = false;
+  /// How long the request had run there. Unknown counts as long.
+  Duration ranFor = std::chrono::hours(1);
 };
 
 } // namespace auburnspring
--- a/include/auburnspring/decision/part_guard.h
+++ b/include/auburnspring/decision/part_guard.h
@@ -17,9 +17,10 @@
 
 namespace auburnspring {
 
-/// Keeps prompt parts that crash upstreams away from them, together with the
-/// other hosts. It sends nothing itself: its messages and decisions are taken
-/// and carried out by the host.
+/// Keeps prompt parts, and whole requests, that crash upstreams away from them,
+/// together with the other hosts. A request is known by the names of its parts
+/// and its own, all of which are called parts here. The guard sends nothing
+/// itself: its messages and decisions are taken and carried out by the host.
 ///
 /// Crashes are reported to the holders of a part: all hosts of a small fleet, a
 /// few hosts by rendezvous hashing in a large one. A holder with enough of them
@@ -31,7 +32,7 @@
   static constexpr std::size_t SmallFleetPeers = 12;
   /// How long the reply to a request for a trial is awaited.
   static constexpr Duration TrialReplyTimeout = std::chrono::milliseconds(150);
-  static constexpr std::size_t MaxReportedCrashes = 256;
+  static constexpr std::size_t MaxReportedCrashes = 1024;
 
   /// Source of states that were read from the store.
   static constexpr const char *StoreSource = "store";
@@ -63,13 +64,17 @@
                                TimePoint now) {
     return quarantines_.check(parts, now);
   }
+  /// True if this host knows of a crash that can be the part's doing.
+  bool hasCrashed(const std::string &part) const {
+    return detector_.hasCrashed(part);
+  }
   /// A request with these parts has run soundly.
   void onSound(absl::Span<const std::string> parts, TimePoint now);
-  /// An upstream broke off a request with these parts that had not proved
-  /// sound. Reported with the next flush().
+  /// An upstream broke off a request with these parts, which had run for
+  /// `ranFor` and not proved sound. Reported with the next flush().
   void onBroken(absl::Span<const std::string> parts,
                 const std::string &upstream, std::int64_t startedAtMillis,
-                TimePoint now);
+                Duration ranFor, TimePoint now);
   /// Asks for the trial that is due. The handler may be called before this
   /// returns.
   void requestTrial(const std::string &part, TimePoint now,
--- a/include/auburnspring/decision/part_quarantines.h
+++ b/include/auburnspring/decision/part_quarantines.h
@@ -36,6 +36,11 @@
   static constexpr Duration TrialDelays[] = {std::chrono::seconds(4),
                                              std::chrono::seconds(20),
                                              std::chrono::minutes(10)};
+  /// As TrialDelays, for a whole request: another request with it can tell
+  /// nothing apart, so that a second trial is worth less.
+  static constexpr Duration RequestTrialDelays[] = {std::chrono::seconds(4),
+                                                    std::chrono::minutes(2),
+                                                    std::chrono::minutes(10)};
   static constexpr std::uint32_t MaxTrials = 3;
   /// Time in which the outcome of a trial is usually known.
   static constexpr Duration TrialTime = std::chrono::seconds(2);
@@ -67,6 +72,10 @@
     Forgotten
   };
 
+  /// Time from the trial of that number, or from the quarantine if it is 0, to
+  /// the next one.
+  static Duration trialDelay(const std::string &part, std::uint32_t trials);
+
   Check check(absl::Span<const std::string> parts, TimePoint now);
   bool isQuarantined(const std::string &part) const;
 
--- a/include/auburnspring/serving/active_request.h
+++ b/include/auburnspring/serving/active_request.h
@@ -40,18 +40,24 @@
 
   // Arrival.
   bool admit();
+  void begin();
   void chooseUpstreamPool();
   void onCallerDisconnected();
   void onDeadline();
   void endRequest(int statusIfRun, std::string_view reason);
 
-  // Prompt parts that crash upstreams.
-  /// Responds to a request with a quarantined part, and returns true.
-  bool refuseIfQuarantined();
+  // Requests and prompt parts that crash upstreams.
+  /// Refuses the request if it or a part of it is quarantined, else begins with
+  /// it. A quarantined request needs a trial before its stages, whose upstreams
+  /// it may crash too.
+  void beginUnlessQuarantined();
   void refuseQuarantined(const PartQuarantines::Check &check);
-  /// As refuseIfQuarantined(), right before an attempt. The attempt starts
-  /// later if the request gets the trial that is due.
+  /// Refuses or holds the request right before an attempt, and returns true if
+  /// so. The attempt starts later if the request gets the trial that is due.
   bool holdIfQuarantined();
+  /// Asks for the trial that is due, then goes on with `next` or refuses.
+  void requestTrial(const PartQuarantines::Check &check,
+                    void (ActiveRequest::*next)());
   /// The attempt shows that its parts crash no upstream.
   void noteSound(Attempt *attempt);
   /// The upstream broke off the attempt: its parts may be the cause.
@@ -160,9 +166,9 @@
   CallerRequest request_;
   /// Known once the caller is; empty before that.
   std::string requestName_;
-  /// Names of the prompt's shared parts.
+  /// Names of the prompt's shared parts, and the request's own.
   std::vector<std::string> partNames_;
-  /// This request is the one with a quarantined part that is let through.
+  /// This request is the quarantined one that is let through.
   bool isTrial_ = false;
   /// The next attempt waits for a permit of an upstream that names a limit.
   bool awaitsPermit_ = false;
--- a/include/auburnspring/serving/part_guard_exchange.h
+++ b/include/auburnspring/serving/part_guard_exchange.h
@@ -28,9 +28,12 @@
         guard_(peers->self()) {}
 
   PartQuarantines::Check check(absl::Span<const std::string> parts);
+  bool hasCrashed(const std::string &part) const {
+    return guard_.hasCrashed(part);
+  }
   void onSound(absl::Span<const std::string> parts);
   void onBroken(absl::Span<const std::string> parts,
-                const UpstreamEntry &upstream);
+                const UpstreamEntry &upstream, Duration ranFor);
   void requestTrial(const std::string &part, PartGuard::TrialHandler handler);
 
   void onReport(const std::string &from, const PartCrashReport &report);
--- a/src/auburnspring/decision/crashing_part_detector.cpp
+++ b/src/auburnspring/decision/crashing_part_detector.cpp
@@ -1,6 +1,7 @@
 #include "auburnspring/decision/crashing_part_detector.h"
 
 #include "auburnspring/base/digest.h"
+#include "auburnspring/decision/request_name.h"
 
 #include <absl/strings/ascii.h>
 #include <absl/strings/str_cat.h>
@@ -18,7 +19,7 @@
 
 std::string partName(const std::string &id) {
   const bool isPlain =
-      id.size() <= MaxNameBytes &&
+      id.size() <= MaxNameBytes && !isRequestName(id) &&
       std::all_of(id.begin(), id.end(), [](unsigned char c) {
         return absl::ascii_isalnum(c) || c == '-' || c == '_' || c == '.';
       });
@@ -38,7 +39,7 @@
   bySoundAt_.erase({at, part});
   at = now;
   bySoundAt_.insert({now, part});
-  if (bySoundAt_.size() <= MaxParts)
+  if (bySoundAt_.size() <= MaxSoundParts)
     return;
   soundAt_.erase(bySoundAt_.begin()->second);
   bySoundAt_.erase(bySoundAt_.begin());
@@ -87,22 +88,41 @@
     const auto after = std::upper_bound(
         crashes.begin(), crashes.end(), at,
         [](TimePoint time, const Crash &known) { return time < known.at; });
-    crashes.insert(after, {incarnation, at});
+    crashes.insert(after, {incarnation, at, at - crash.ranFor});
   }
   if (crashes.size() > MaxCrashesPerPart)
     crashes.erase(crashes.begin());
+  return evidence(crash.part, crashes, now);
+}
+
+std::optional<CrashingPartDetector::Crash>
+CrashingPartDetector::evidence(const std::string &part,
+                               const std::vector<Crash> &crashes,
+                               TimePoint now) const {
   const Crash *first = nullptr;
   TimePoint previous;
+  std::size_t count = 0;
   std::size_t moments = 0;
-  for (const Crash &known : crashes) {
-    if (!maySuspect(crash.part, known.at) || known.at + CrashRetention < now ||
-        (first != nullptr && known.at < previous + Coincidence))
+  for (const Crash &crash : crashes) {
+    if (!maySuspect(part, crash.at) || crash.at + CrashRetention < now)
       continue;
-    first = first == nullptr ? &known : first;
-    previous = known.at;
+    ++count;
+    if (first != nullptr && !isSeparate(crash, previous))
+      continue;
+    first = first == nullptr ? &crash : first;
+    previous = crash.at;
     ++moments;
   }
-  return moments >= MinCrashes ? std::optional<Crash>(*first) : std::nullopt;
+  const std::size_t neededMoments =
+      isRequestName(part) ? MinRequestMoments : MinCrashes;
+  return count >= MinCrashes && moments >= neededMoments
+             ? std::optional<Crash>(*first)
+             : std::nullopt;
+}
+
+bool CrashingPartDetector::hasCrashed(const std::string &part) const {
+  const auto found = crashes_.find(part);
+  return found != crashes_.end() && maySuspect(part, found->second.back().at);
 }
 
 void CrashingPartDetector::forget(const std::string &part) {
--- a/src/auburnspring/decision/crashing_part_detector_test.cpp
+++ b/src/auburnspring/decision/crashing_part_detector_test.cpp
@@ -1,4 +1,5 @@
 #include "auburnspring/decision/crashing_part_detector.h"
+#include "auburnspring/decision/request_name.h"
 
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
@@ -45,6 +46,51 @@
   CHECK(detector.onCrash(crash("x", 21), Start + seconds(2)));
 }
 
+// Guards against taking the retries of one request for one crash.
+TEST_CASE("crashes of runs that began one after the other all count") {
+  CrashingPartDetector detector;
+  const auto retry = [](int upstream) {
+    PartCrash crashed = crash("x", upstream);
+    crashed.ranFor = milliseconds(40);
+    return crashed;
+  };
+  CHECK_FALSE(detector.onCrash(retry(1), Start));
+  CHECK_FALSE(detector.onCrash(retry(2), Start + milliseconds(45)));
+  CHECK(detector.onCrash(retry(3), Start + milliseconds(90)));
+}
+
+// Guards against missing a request whose hedges end as many upstreams.
+TEST_CASE("three crashes at two moments suffice for a whole request") {
+  const std::string request = requestName("/a", "bozi", "");
+  const auto hedged = [&](const std::string &part, int upstream) {
+    PartCrash crashed = crash(part, upstream);
+    crashed.ranFor = milliseconds(80);
+    return crashed;
+  };
+  for (const std::string &part : {request, std::string("x")}) {
+    CrashingPartDetector detector;
+    CHECK_FALSE(detector.onCrash(hedged(part, 1), Start));
+    CHECK_FALSE(detector.onCrash(hedged(part, 2), Start + milliseconds(40)));
+    CHECK(detector.onCrash(hedged(part, 3), Start + milliseconds(130))
+              .has_value() == (part == request));
+  }
+}
+
+// Guards against suspecting a request whose copies ran at several upstreams
+// that crashed together.
+TEST_CASE("any number of crashes at one moment is no evidence") {
+  CrashingPartDetector detector;
+  const std::string request = requestName("/a", "bozi", "");
+  for (int i = 0; i < 9; ++i) {
+    PartCrash crashed = crash(request, i);
+    crashed.ranFor = milliseconds(10 + 3 * i);
+    CHECK_FALSE(detector.onCrash(crashed, Start + milliseconds(i)));
+  }
+  CHECK(detector.hasCrashed(request));
+  detector.onSound(request, Start + milliseconds(20));
+  CHECK_FALSE(detector.hasCrashed(request));
+}
+
 TEST_CASE("a sound request exonerates its parts") {
   CrashingPartDetector detector;
   detector.onCrash(crash("x", 1), Start);
--- a/src/auburnspring/decision/part_guard.cpp
+++ b/src/auburnspring/decision/part_guard.cpp
@@ -40,26 +40,31 @@
 
 void PartGuard::onBroken(absl::Span<const std::string> parts,
                          const std::string &upstream,
-                         std::int64_t startedAtMillis, TimePoint now) {
+                         std::int64_t startedAtMillis, Duration ranFor,
+                         TimePoint now) {
+  const std::size_t firstNew = pending_.size();
   for (const std::string &part : parts) {
     const bool isNoted =
         std::any_of(pending_.begin(), pending_.end(), [&](const auto &noted) {
           return noted.first.part == part && noted.first.upstream == upstream;
         });
-    if (!isNoted && detector_.maySuspect(part, now) &&
-        pending_.size() < MaxReportedCrashes)
-      pending_.push_back({{part, upstream, startedAtMillis, Duration(0),
-                           quarantines_.isDistinguishing(part, parts)},
-                          now});
+    if (isNoted || !detector_.maySuspect(part, now) ||
+        pending_.size() >= MaxReportedCrashes)
+      continue;
+    pending_.push_back({{part, upstream, startedAtMillis, Duration(0),
+                         quarantines_.isDistinguishing(part, parts), ranFor},
+                        now});
   }
+  // The next flush() is too late: the request may be sent again before it.
+  for (std::size_t i = firstNew; i < pending_.size(); ++i)
+    if (isHolder(pending_[i].first.part))
+      addCrash(pending_[i].first, now);
 }
 
 void PartGuard::flush(TimePoint now) {
   std::map<std::string, PartCrashReport> reports;
   for (auto &[crash, at] : std::exchange(pending_, {})) {
     crash.age = now - at;
-    if (isHolder(crash.part))
-      addCrash(crash, now);
     if (isSmallFleet()) {
       reports[""].crashes.push_back(crash);
       continue;
--- a/src/auburnspring/decision/part_quarantines.cpp
+++ b/src/auburnspring/decision/part_quarantines.cpp
@@ -1,5 +1,7 @@
 #include "auburnspring/decision/part_quarantines.h"
 
+#include "auburnspring/decision/request_name.h"
+
 #include <algorithm>
 #include <iterator>
 #include <utility>
@@ -15,6 +17,13 @@
 } // namespace
 
 constexpr Duration PartQuarantines::TrialDelays[];
+constexpr Duration PartQuarantines::RequestTrialDelays[];
+
+Duration PartQuarantines::trialDelay(const std::string &part,
+                                     std::uint32_t trials) {
+  const std::uint32_t index = std::min(trials, MaxTrials - 1);
+  return isRequestName(part) ? RequestTrialDelays[index] : TrialDelays[index];
+}
 
 PartQuarantine PartQuarantines::stateOf(const std::string &part,
                                         const Entry &entry, TimePoint now) {
@@ -121,7 +130,7 @@
   entry = Entry();
   entry.generation = generation;
   entry.firstCrash = firstCrash;
-  entry.nextTrialAt = now + TrialDelays[0];
+  entry.nextTrialAt = now + trialDelay(part, 0);
   entry.lastMetAt = now;
   return true;
 }
@@ -143,7 +152,7 @@
   Entry &entry = found->second;
   ++entry.trials;
   entry.lastTrialAt = now;
-  entry.nextTrialAt = now + TrialDelays[std::min(entry.trials, MaxTrials - 1)];
+  entry.nextTrialAt = now + trialDelay(part, entry.trials);
   return true;
 }
 
--- a/src/auburnspring/serving/active_request.cpp
+++ b/src/auburnspring/serving/active_request.cpp
@@ -28,12 +28,13 @@
 
 void ActiveRequest::start() {
   request_ = context_->dialect->parseCallerRequest(exchange_->head);
-  partNames_ = sharedPartNames(request_.prompt);
   deadline_ = exchange_->receivedAt + DefaultTimeout;
   if (!admit())
     return;
   requestName_ =
       requestName(exchange_->head.target, organisation_, exchange_->body);
+  partNames_ = sharedPartNames(request_.prompt);
+  partNames_.push_back(requestName_);
   exchange_->onDisconnect = [weak = weak_from_this()] {
     if (const auto self = weak.lock())
       self->onCallerDisconnected();
@@ -44,8 +45,10 @@
     if (!error && self)
       self->onDeadline();
   });
-  if (refuseIfQuarantined())
-    return;
+  beginUnlessQuarantined();
+}
+
+void ActiveRequest::begin() {
   lastEventId_ = request_.lastEventId;
   isResumption() ? findOrigin() : startStages();
 }
--- a/src/auburnspring/serving/active_request_attempts.cpp
+++ b/src/auburnspring/serving/active_request_attempts.cpp
@@ -248,7 +248,7 @@
 
 std::string ActiveRequest::loggedParts() const {
   std::string names;
-  for (const std::string &part : partNames_) {
+  for (const std::string &part : sharedPartNames(request_.prompt)) {
     if (names.size() + part.size() > MaxLoggedPartBytes)
       return names + ",...";
     names += (names.empty() ? "" : ",") + part;
--- a/src/auburnspring/serving/active_request_hedge.cpp
+++ b/src/auburnspring/serving/active_request_hedge.cpp
@@ -39,7 +39,10 @@
 }
 
 void ActiveRequest::onHedge() {
-  if (!hasLiveAttempt() || possibleRuns_ >= route_->maxAttempts || !takeRetry())
+  if (!hasLiveAttempt() || possibleRuns_ >= route_->maxAttempts)
+    return;
+  // A request that may crash upstreams is not sent to two at a time.
+  if (context_->partGuard->hasCrashed(requestName_) || !takeRetry())
     return;
   dispatch();
 }
--- a/src/auburnspring/serving/active_request_parts.cpp
+++ b/src/auburnspring/serving/active_request_parts.cpp
@@ -1,19 +1,37 @@
 #include "auburnspring/serving/active_request.h"
 
+#include "auburnspring/base/clock.h"
 #include "auburnspring/base/log.h"
+#include "auburnspring/decision/request_name.h"
 
 namespace auburnspring {
 
-bool ActiveRequest::refuseIfQuarantined() {
+void ActiveRequest::beginUnlessQuarantined() {
   const PartQuarantines::Check check = context_->partGuard->check(partNames_);
-  if (check.verdict != PartVerdict::Quarantined)
-    return false;
-  refuseQuarantined(check);
-  return true;
+  if (check.verdict == PartVerdict::Quarantined)
+    return refuseQuarantined(check);
+  if (check.verdict == PartVerdict::TrialDue && isRequestName(check.part))
+    return requestTrial(check, &ActiveRequest::begin);
+  begin();
+}
+
+void ActiveRequest::requestTrial(const PartQuarantines::Check &check,
+                                 void (ActiveRequest::*next)()) {
+  context_->partGuard->requestTrial(
+      check.part, [weak = weak_from_this(), check, next](bool granted) {
+        const auto self = weak.lock();
+        if (!self || self->done_)
+          return;
+        if (!granted)
+          return self->refuseQuarantined(check);
+        self->isTrial_ = true;
+        (self.get()->*next)();
+      });
 }
 
 void ActiveRequest::refuseQuarantined(const PartQuarantines::Check &check) {
-  constexpr std::string_view Reason = "part_quarantined";
+  const std::string_view reason =
+      isRequestName(check.part) ? "request_quarantined" : "part_quarantined";
   logEvent(LogLevel::Info, "request_quarantined",
            {{"id", request_.id},
             {"part", check.part},
@@ -21,11 +39,11 @@
             {"next_trial_ms",
              check.nextTrialIn ? toMillis(*check.nextTrialIn) : -1.0}});
   if (streamStarted_)
-    return abortStream(Reason);
+    return abortStream(reason);
   if (possibleRuns_ > 0)
-    return refuse(502, Reason);
+    return refuse(502, reason);
   // Before the next trial it is of no use to come back.
-  refuse(503, Reason, check.nextTrialIn);
+  refuse(503, reason, check.nextTrialIn);
 }
 
 bool ActiveRequest::holdIfQuarantined() {
@@ -40,21 +58,13 @@
     refuseQuarantined(check);
     return true;
   }
-  context_->partGuard->requestTrial(
-      check.part, [weak = weak_from_this(), check](bool granted) {
-        const auto self = weak.lock();
-        if (!self || self->done_)
-          return;
-        if (!granted)
-          return self->refuseQuarantined(check);
-        self->isTrial_ = true;
-        self->dispatch();
-      });
+  requestTrial(check, &ActiveRequest::dispatch);
   return true;
 }
 
 void ActiveRequest::noteSound(Attempt *attempt) {
-  if (partNames_.empty() || attempt->isSound() || attempt->head().status >= 500)
+  if (attempt->isSound() || attempt->head().status >= 500 ||
+      attempt->responseInfo().isNotRun)
     return;
   attempt->setSound();
   context_->partGuard->onSound(partNames_);
@@ -62,10 +72,10 @@
 
 void ActiveRequest::noteBroken(const Attempt &attempt) {
   const AttemptReport report = attempt.report();
-  if (partNames_.empty() || attempt.isSound() || report.isComplete ||
-      !mayHaveRun(report))
+  if (attempt.isSound() || report.isComplete || !mayHaveRun(report))
     return;
-  context_->partGuard->onBroken(partNames_, attempt.upstream().entry);
+  context_->partGuard->onBroken(partNames_, attempt.upstream().entry,
+                                steadyNow() - attempt.startedAt());
 }
 
 } // namespace auburnspring
--- a/src/auburnspring/serving/part_guard_exchange.cpp
+++ b/src/auburnspring/serving/part_guard_exchange.cpp
@@ -50,8 +50,10 @@
 }
 
 void PartGuardExchange::onBroken(absl::Span<const std::string> parts,
-                                 const UpstreamEntry &upstream) {
-  guard_.onBroken(parts, upstream.id, upstream.startedAtMillis, steadyNow());
+                                 const UpstreamEntry &upstream,
+                                 Duration ranFor) {
+  guard_.onBroken(parts, upstream.id, upstream.startedAtMillis, ranFor,
+                  steadyNow());
   carryOut();
 }
 
@@ -118,8 +120,7 @@
   state.isConfirmed = fields[2] == "1";
   state.evidence = fields[3];
   // The store does not say when the last trial was.
-  state.nextTrialIn = PartQuarantines::TrialDelays[std::min(
-      state.trials, PartQuarantines::MaxTrials - 1)];
+  state.nextTrialIn = PartQuarantines::trialDelay(state.part, state.trials);
   guard_.onUpdate(PartGuard::StoreSource, {{state}}, steadyNow());
   carryOut();
 }
--- a/src/auburnspring/wire/part_quarantine_codec.cpp
+++ b/src/auburnspring/wire/part_quarantine_codec.cpp
@@ -38,7 +38,8 @@
   nlohmann::json list = nlohmann::json::array();
   for (const PartCrash &crash : report.crashes)
     list.push_back({crash.part, crash.upstream, crash.startedAtMillis,
-                    crash.age.count(), crash.isDistinguishing});
+                    crash.age.count(), crash.isDistinguishing,
+                    crash.ranFor.count()});
   return list;
 }
 
@@ -63,6 +64,9 @@
         {fields.at(0).get<std::string>(), fields.at(1).get<std::string>(),
          fields.at(2).get<std::int64_t>(),
          Duration(fields.at(3).get<std::int64_t>()), fields.at(4).get<bool>()});
+    // Hosts of earlier releases do not send it.
+    if (fields.size() > 5)
+      report.crashes.back().ranFor = Duration(fields.at(5).get<std::int64_t>());
   }
   return report;
 }
