A batch that breaks off is blamed on each of its jobs, which then part company

Cause: no one was told that a batch had broken off, and its pieces were sent again in the same company, up to 24 failures a job. Pieces that crash their upstreams took those of other requests with them, and came again with each repeat of their request.

Change: pieces are known by the name of their request and stage. A broken batch is reported for each job in it; a sound batch exonerates those of its jobs that were suspected. A job from a broken batch shares the next one with a quarter of its pieces, then with none, has one batch in progress at a time, and fails at the third break. A batching host runs what is remembered for a crash alone. Two requests are no rivals for the same crashes: no third one can hold both, so that neither would have been held back.

Decision, wire, crashing part, crashing request and serving tests pass.

--- a/include/auburnspring/decision/part_quarantines.h
+++ b/include/auburnspring/decision/part_quarantines.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace auburnspring {
@@ -123,9 +124,13 @@
   static constexpr Duration retention(bool isQuarantined) {
     return isQuarantined ? Retention : ReleaseRetention;
   }
-  static bool areRivals(const Entry &a, const Entry &b);
+  using Named = std::pair<const std::string, Entry>;
+
+  /// Suspected for the same crashes, and not told apart yet. Two requests never
+  /// are: no third one can hold both.
+  static bool areRivals(const Named &a, const Named &b);
   /// True if requests with these parts are held back for `entry`, one of them.
-  bool holdsBack(const Entry &entry, absl::Span<const std::string> parts) const;
+  bool holdsBack(const Named &entry, absl::Span<const std::string> parts) const;
   static PartQuarantine stateOf(const std::string &part, const Entry &entry,
                                 TimePoint now);
   void makeRoom();
--- a/include/auburnspring/decision/piece_batcher.h
+++ b/include/auburnspring/decision/piece_batcher.h
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <limits>
 #include <map>
 #include <optional>
 #include <set>
@@ -50,7 +51,13 @@
 };
 
 /// Outcome of a batch call as a whole.
-enum class BatchStatus { Responded, NotRun, Failed };
+enum class BatchStatus {
+  Responded,
+  NotRun,
+  Failed,
+  /// The upstream broke off: it may have crashed because of one of the pieces.
+  Broken
+};
 
 /// Forms batches for the upstreams of one pool out of the jobs of all hosts.
 ///
@@ -78,6 +85,9 @@
   void onBatchEnd(std::uint64_t number, BatchStatus status,
                   const std::vector<PieceResult> &results, TimePoint now);
 
+  /// Names of the jobs with pieces in the batch, while it is in progress.
+  std::vector<std::string> jobNames(std::uint64_t number) const;
+
   /// Results that are freed at their upstream; they no longer count as result
   /// memory.
   void release(const std::vector<std::string> &handles);
@@ -120,6 +130,10 @@
     /// Pieces that wait for a batch.
     std::vector<std::uint32_t> queued;
     std::int64_t failures = 0;
+    /// Batches with its pieces that an upstream broke off, and the pieces of
+    /// other jobs that may be in the next one.
+    std::int64_t breaks = 0;
+    std::size_t maxCompany = std::numeric_limits<std::size_t>::max();
     /// When the last piece was sent.
     TimePoint lastSentAt;
     bool inputsFreed = false;
@@ -141,6 +155,8 @@
     Duration expected{0};
     bool overdue = false;
     std::vector<CallItem> items;
+    /// Pieces that it may hold, for the sake of jobs that have been broken off.
+    std::size_t maxItems = std::numeric_limits<std::size_t>::max();
   };
 
   struct HeldResult {
@@ -208,6 +224,10 @@
   void dropUnattainable(TimePoint now);
   void requeueOverdue(TimePoint now);
   void requeue(const CallItem &item, bool countsAsFailure);
+  /// Notes that an upstream broke off a batch of these pieces.
+  void recordBreak(const std::vector<CallItem> &items);
+  /// Pieces that a batch with this job may hold; 0 if it may be in none now.
+  std::size_t maxItemsWith(const JobState &job) const;
   void onPieceResult(const CallItem &item, const PieceResult &result,
                      Upstream *upstream, TimePoint now);
   void storeResult(const CallItem &item, const std::string &handle,
--- a/include/auburnspring/decision/request_name.h
+++ b/include/auburnspring/decision/request_name.h
@@ -1,6 +1,7 @@
 #ifndef AUBURNSPRING_DECISION_REQUEST_NAME_H
 #define AUBURNSPRING_DECISION_REQUEST_NAME_H
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -12,7 +13,11 @@
 std::string requestName(std::string_view target, std::string_view caller,
                         std::string_view body);
 
-/// True for names made by requestName().
+/// Name of the pieces of one of its stages, which may crash upstreams other
+/// than those that run the request itself.
+std::string stageName(std::string_view requestName, std::uint32_t stage);
+
+/// True for names made by requestName() or stageName().
 bool isRequestName(std::string_view name);
 
 } // namespace auburnspring
--- a/include/auburnspring/decision/stage_job.h
+++ b/include/auburnspring/decision/stage_job.h
@@ -15,6 +15,12 @@
   /// Host that serves the request, and the caller's id of the request.
   std::string host;
   std::string requestId;
+  /// Name by which the pieces are known when the caller sends the request
+  /// again; empty if it is not known.
+  std::string name;
+  /// Its pieces may crash upstreams, as far as the batching host knows: they
+  /// share no batch with others.
+  bool isSuspected = false;
   std::uint32_t stage = 0;
   /// Attempt number of the stage, from 0. Distinguishes a retry from an
   /// earlier run.
--- a/include/auburnspring/serving/piece_dispatcher.h
+++ b/include/auburnspring/serving/piece_dispatcher.h
@@ -20,6 +20,8 @@
 
 namespace auburnspring {
 
+class PartGuardExchange;
+
 /// Sends this host's stage jobs to the batching host of their pool, and runs
 /// the batchers of the pools that are assigned to this host.
 class PieceDispatcher {
@@ -70,6 +72,9 @@
   /// and resubmits lost jobs.
   void tick(TimePoint now);
 
+  /// Sets what is told of jobs that crash upstreams.
+  void setPartGuard(PartGuardExchange *guard) { partGuard_ = guard; }
+
   Counters counters() const { return counters_; }
   std::size_t outstandingCount() const { return outstanding_.size(); }
 
@@ -125,6 +130,7 @@
   void transferReassigned(TimePoint now);
   void assign(OutstandingJob *entry, const std::string &batchingHost,
               TimePoint now);
+  void submitToBatcher(StageJob job, TimePoint now);
   void deliver(JobOutcome outcome);
   PoolBatcher &batcherFor(const std::string &pool);
   void dispatchBatches(const std::string &pool);
@@ -136,6 +142,9 @@
   void endBatch(std::uint64_t number, http::CallStatus callStatus,
                 std::string_view failure);
   void scheduleDispatch(PoolBatcher *poolBatcher, TimePoint now);
+  /// Tells the guard what a batch shows of the jobs in it.
+  void reportJobs(const std::vector<std::string> &names, BatchStatus status,
+                  const BatchCall &call);
   void queueRelease(const std::vector<std::string> &results);
   void flushReleases();
   void probeUnresponsiveHosts(TimePoint now);
@@ -145,6 +154,7 @@
   PeerNetwork *peers_;
   UpstreamRegistry *registry_;
   RequestLimitExchange *requestLimits_;
+  PartGuardExchange *partGuard_ = nullptr;
   BatchLimitsLookup batchLimits_;
   std::map<JobKey, OutstandingJob> outstanding_;
   std::map<std::string, std::unique_ptr<PoolBatcher>> poolBatchers_;
--- a/src/auburnspring/decision/part_quarantines.cpp
+++ b/src/auburnspring/decision/part_quarantines.cpp
@@ -37,18 +37,18 @@
           now - entry.lastMetAt};
 }
 
-// Suspected for the same crashes, and not told apart yet.
-bool PartQuarantines::areRivals(const Entry &a, const Entry &b) {
-  return &a != &b && a.isQuarantined() && b.isQuarantined() &&
-         a.firstCrash.incarnation == b.firstCrash.incarnation;
+bool PartQuarantines::areRivals(const Named &a, const Named &b) {
+  return &a != &b && a.second.isQuarantined() && b.second.isQuarantined() &&
+         a.second.firstCrash.incarnation == b.second.firstCrash.incarnation &&
+         !(isRequestName(a.first) && isRequestName(b.first));
 }
 
-bool PartQuarantines::holdsBack(const Entry &entry,
+bool PartQuarantines::holdsBack(const Named &entry,
                                 absl::Span<const std::string> parts) const {
-  return entry.isConfirmed ||
+  return entry.second.isConfirmed ||
          std::none_of(entries_.begin(), entries_.end(), [&](const auto &other) {
            // A confirmed rival accounts for the crashes of both.
-           return areRivals(entry, other.second) &&
+           return areRivals(entry, other) &&
                   (other.second.isConfirmed || !contains(parts, other.first));
          });
 }
@@ -56,22 +56,21 @@
 PartQuarantines::Check
 PartQuarantines::check(absl::Span<const std::string> parts, TimePoint now) {
   Check result;
-  const Entry *first = nullptr;
+  const Named *first = nullptr;
   bool hasTrial = true;
   for (const std::string &part : parts) {
     const auto found = entries_.find(part);
     if (found == entries_.end() || !found->second.isQuarantined())
       continue;
-    Entry &entry = found->second;
-    entry.lastMetAt = now;
-    if (!holdsBack(entry, parts))
+    found->second.lastMetAt = now;
+    if (!holdsBack(*found, parts))
       continue;
     // A trial of parts that are suspected for different crashes would not tell
     // which of them is to blame.
-    hasTrial = hasTrial && (first == nullptr || areRivals(*first, entry));
+    hasTrial = hasTrial && (first == nullptr || areRivals(*first, *found));
     if (first == nullptr || part < result.part)
       result.part = part;
-    first = first == nullptr ? &entry : first;
+    first = first == nullptr ? &*found : first;
   }
   if (first == nullptr)
     return result;
@@ -92,8 +91,7 @@
   const auto found = entries_.find(part);
   return found != entries_.end() &&
          std::any_of(entries_.begin(), entries_.end(), [&](const auto &other) {
-           return areRivals(found->second, other.second) &&
-                  !contains(parts, other.first);
+           return areRivals(*found, other) && !contains(parts, other.first);
          });
 }
 
--- a/src/auburnspring/decision/piece_batcher.cpp
+++ b/src/auburnspring/decision/piece_batcher.cpp
@@ -45,6 +45,12 @@
 constexpr Duration PollInterval = std::chrono::milliseconds(25);
 /// A job fails after more than this many failures of its pieces.
 constexpr std::int64_t MaxJobFailures = 24;
+/// A job fails after this many of its batches were broken off: it may be what
+/// crashes the upstreams.
+constexpr std::int64_t MaxJobBreaks = 3;
+/// After a batch was broken off, its jobs are sent with at most this share of
+/// its pieces, so that what crashes upstreams is soon alone.
+constexpr std::size_t BrokenCompanyDivisor = 4;
 /// Share of its value that a job keeps once it can no longer meet its target
 /// time.
 constexpr double LateValueFactor = 0.15;
@@ -106,6 +112,8 @@
   entry.results.resize(job.pieces);
   for (std::uint32_t piece = 0; piece < job.pieces; ++piece)
     entry.queued.push_back(piece);
+  if (job.isSuspected)
+    entry.maxCompany = 1;
   entry.spec = std::move(job);
   if (existing != jobs_.end())
     eraseJob(existing);
@@ -285,9 +293,31 @@
   return jobs;
 }
 
+std::size_t PieceBatcher::maxItemsWith(const JobState &job) const {
+  if (job.breaks == 0 && !job.spec.isSuspected)
+    return std::numeric_limits<std::size_t>::max();
+  // One batch at a time, so that its pieces end one upstream at most.
+  const JobKey key = keyOf(job.spec);
+  const bool isInProgress =
+      std::any_of(calls_.begin(), calls_.end(), [&](const auto &call) {
+        return std::any_of(
+            call.second.items.begin(), call.second.items.end(),
+            [&](const CallItem &item) { return item.jobKey == key; });
+      });
+  return isInProgress ? 0 : std::max(job.queued.size(), job.maxCompany);
+}
+
 void PieceBatcher::addPieces(JobState *job, std::size_t maxItems,
                              Upstream *upstream, PieceBatch *batch, Call *call,
                              TimePoint now) {
+  const std::size_t maxWithJob = maxItemsWith(*job);
+  if (batch->items.size() + job->queued.size() > maxWithJob &&
+      (maxWithJob == 0 || !batch->items.empty()))
+    return;
+  call->maxItems = std::min(call->maxItems, maxWithJob);
+  maxItems = std::min(maxItems, call->maxItems);
+  if (batch->items.size() >= maxItems)
+    return;
   // A job is split only if it is the first in the batch: its stage can't end
   // before all its pieces have.
   const bool fits = job->queued.size() <= maxItems - batch->items.size();
@@ -465,6 +495,38 @@
     finishJob(item.jobKey, JobStatus::Failed);
 }
 
+void PieceBatcher::recordBreak(const std::vector<CallItem> &items) {
+  std::set<JobKey> broken;
+  for (const CallItem &item : items)
+    broken.insert(item.jobKey);
+  const std::size_t company =
+      std::max<std::size_t>(items.size() / BrokenCompanyDivisor, 1);
+  for (const JobKey &key : broken) {
+    const auto found = jobs_.find(key);
+    if (found == jobs_.end())
+      continue;
+    found->second.maxCompany = std::min(found->second.maxCompany, company);
+    if (++found->second.breaks >= MaxJobBreaks)
+      finishJob(key, JobStatus::Failed);
+  }
+}
+
+std::vector<std::string> PieceBatcher::jobNames(std::uint64_t number) const {
+  std::vector<std::string> names;
+  const auto call = calls_.find(number);
+  if (call == calls_.end())
+    return names;
+  for (const CallItem &item : call->second.items) {
+    const auto job = jobs_.find(item.jobKey);
+    if (job == jobs_.end() || job->second.spec.name.empty() ||
+        std::find(names.begin(), names.end(), job->second.spec.name) !=
+            names.end())
+      continue;
+    names.push_back(job->second.spec.name);
+  }
+  return names;
+}
+
 void PieceBatcher::onBatchEnd(std::uint64_t number, BatchStatus status,
                               const std::vector<PieceResult> &results,
                               TimePoint now) {
@@ -503,11 +565,13 @@
     upstream->pausedUntil =
         now +
         (status == BatchStatus::NotRun ? PauseAfterFull : PauseAfterFailure);
-    if (status == BatchStatus::Failed)
+    if (status != BatchStatus::NotRun)
       recordUpstreamFailure(upstream->state.get(), now);
   }
+  if (status == BatchStatus::Broken)
+    recordBreak(call.items);
   for (const CallItem &item : call.items)
-    requeue(item, status == BatchStatus::Failed && !call.overdue);
+    requeue(item, status != BatchStatus::NotRun && !call.overdue);
 }
 
 void PieceBatcher::onPieceResult(const CallItem &item,
--- a/src/auburnspring/decision/request_name.cpp
+++ b/src/auburnspring/decision/request_name.cpp
@@ -25,6 +25,10 @@
                                      digestHex(view(body)))));
 }
 
+std::string stageName(std::string_view requestName, std::uint32_t stage) {
+  return absl::StrCat(view(requestName), ".", stage);
+}
+
 bool isRequestName(std::string_view name) {
   return absl::StartsWith(view(name), Prefix);
 }
--- a/src/auburnspring/decision/request_name_test.cpp
+++ b/src/auburnspring/decision/request_name_test.cpp
@@ -15,6 +15,8 @@
   CHECK(name != requestName("/a/1", "bozi", ""));
   CHECK(isRequestName(name));
   CHECK_FALSE(isRequestName("5c1e07a2"));
+  CHECK(isRequestName(stageName(name, 2)));
+  CHECK(stageName(name, 1) != stageName(name, 2));
   CHECK(name.size() <= 64);
 }
 
--- a/src/auburnspring/serving/active_request_parts.cpp
+++ b/src/auburnspring/serving/active_request_parts.cpp
@@ -7,7 +7,10 @@
 namespace auburnspring {
 
 void ActiveRequest::beginUnlessQuarantined() {
-  const PartQuarantines::Check check = context_->partGuard->check(partNames_);
+  std::vector<std::string> names = partNames_;
+  for (std::uint32_t stage = 0; stage < route_->stages.size(); ++stage)
+    names.push_back(stageName(requestName_, stage));
+  const PartQuarantines::Check check = context_->partGuard->check(names);
   if (check.verdict == PartVerdict::Quarantined)
     return refuseQuarantined(check);
   if (check.verdict == PartVerdict::TrialDue && isRequestName(check.part))
--- a/src/auburnspring/serving/active_request_stages.cpp
+++ b/src/auburnspring/serving/active_request_stages.cpp
@@ -2,6 +2,7 @@
 
 #include "auburnspring/base/clock.h"
 #include "auburnspring/base/log.h"
+#include "auburnspring/decision/request_name.h"
 #include "auburnspring/decision/request_value.h"
 
 #include <algorithm>
@@ -151,6 +152,7 @@
 StageJob ActiveRequest::makeJob(std::uint32_t stage) {
   StageJob job;
   job.requestId = request_.id;
+  job.name = stageName(requestName_, stage);
   job.stage = stage;
   job.attempt = plan_.attempt(stage);
   job.pool = plan_.stages()[stage].pool;
--- a/src/auburnspring/serving/piece_dispatcher.cpp
+++ b/src/auburnspring/serving/piece_dispatcher.cpp
@@ -2,6 +2,7 @@
 
 #include "auburnspring/base/clock.h"
 #include "auburnspring/base/log.h"
+#include "auburnspring/serving/part_guard_exchange.h"
 #include "auburnspring/serving/upstream_statements.h"
 
 #include <algorithm>
@@ -26,6 +27,8 @@
 /// A job without an outcome is submitted again, in case a message was lost.
 constexpr Duration ResubmitAfter = std::chrono::milliseconds(1500);
 constexpr std::size_t MaxResponseBytes = 4 << 20;
+/// Reason of a batch call that times out.
+constexpr std::string_view Silent = "silent";
 /// Delay before the jobs of a reassigned pool are transferred, so that all
 /// hosts agree on the new batching host.
 constexpr Duration TransferDelay = std::chrono::milliseconds(300);
@@ -55,7 +58,7 @@
   entry->sentAt = now;
   if (entry->batchingHost == peers_->self()) {
     const std::string pool = entry->job.pool;
-    batcherFor(pool).batcher.submit(entry->job, now);
+    submitToBatcher(entry->job, now);
     return dispatchBatches(pool);
   }
   JobSubmit message;
@@ -64,6 +67,12 @@
   peers_->send(entry->batchingHost, std::move(message));
 }
 
+void PieceDispatcher::submitToBatcher(StageJob job, TimePoint now) {
+  job.isSuspected = partGuard_ != nullptr && partGuard_->hasCrashed(job.name);
+  PieceBatcher &batcher = batcherFor(job.pool).batcher;
+  batcher.submit(std::move(job), now);
+}
+
 void PieceDispatcher::cancel(const std::string &requestId) {
   auto entry = outstanding_.lower_bound({requestId, 0});
   while (entry != outstanding_.end() && entry->first.first == requestId) {
@@ -158,7 +167,7 @@
     job.targetTime = now + entry.targetIn;
     job.deadline = now + entry.deadlineIn;
     const std::string pool = job.pool;
-    batcherFor(pool).batcher.submit(std::move(job), now);
+    submitToBatcher(std::move(job), now);
     dispatchBatches(pool);
   }
 }
@@ -310,7 +319,7 @@
   call.timer->expires_after(expected * BatchTimeoutFactor);
   call.timer->async_wait([this, number](asio::error_code error) {
     if (!error)
-      endBatch(number, http::CallStatus::Failed, "silent");
+      endBatch(number, http::CallStatus::Failed, Silent);
   });
   logEvent(LogLevel::Info, "batch_sent",
            {{"pool", pool},
@@ -335,7 +344,10 @@
   BatchCall call = std::move(found->second);
   batches_.erase(found);
   call.timer->cancel();
-  BatchStatus batchStatus = BatchStatus::Failed;
+  const bool isBroken =
+      callStatus == http::CallStatus::Failed && failure != Silent;
+  BatchStatus batchStatus =
+      isBroken ? BatchStatus::Broken : BatchStatus::Failed;
   std::vector<PieceResult> results;
   std::string reason(failure);
   if (callStatus == http::CallStatus::NotSent ||
@@ -355,7 +367,7 @@
       std::count_if(results.begin(), results.end(), [](const PieceResult &r) {
         return r.kind != PieceResult::Kind::Result;
       });
-  if (batchStatus == BatchStatus::Failed)
+  if (batchStatus == BatchStatus::Failed || batchStatus == BatchStatus::Broken)
     ++counters_.failedBatches;
   if (batchStatus != BatchStatus::Responded || failed > 0)
     logEvent(LogLevel::Warning, "batch_failed",
@@ -368,11 +380,26 @@
               {"pieces", static_cast<unsigned long>(call.items)},
               {"why", reason},
               {"ms", toMillis(steadyNow() - call.startedAt)}});
-  batcherFor(call.pool).batcher.onBatchEnd(call.batchNumber, batchStatus,
-                                           results, steadyNow());
+  PieceBatcher &batcher = batcherFor(call.pool).batcher;
+  reportJobs(batcher.jobNames(call.batchNumber), batchStatus, call);
+  batcher.onBatchEnd(call.batchNumber, batchStatus, results, steadyNow());
   dispatchBatches(call.pool);
 }
 
+void PieceDispatcher::reportJobs(const std::vector<std::string> &names,
+                                 BatchStatus status, const BatchCall &call) {
+  if (partGuard_ == nullptr)
+    return;
+  for (const std::string &name : names) {
+    if (status == BatchStatus::Broken)
+      partGuard_->onBroken({name}, call.upstream->entry,
+                           steadyNow() - call.startedAt);
+    // Most jobs are sound, and of no interest unless they are suspected.
+    else if (status == BatchStatus::Responded && partGuard_->hasCrashed(name))
+      partGuard_->onSound({name});
+  }
+}
+
 void PieceDispatcher::queueRelease(const std::vector<std::string> &results) {
   for (const std::string &result : results)
     if (const std::optional<Endpoint> at = dialect_->resultEndpoint(result))
--- a/src/auburnspring/serving/serving_host.cpp
+++ b/src/auburnspring/serving/serving_host.cpp
@@ -110,6 +110,7 @@
   context_.pieceDispatcher = &pieceDispatcher_;
   context_.streamOrigins = &streamOrigins_;
   context_.partGuard = &partGuard_;
+  pieceDispatcher_.setPartGuard(&partGuard_);
   context_.requestLimits = &requestLimits_;
   context_.random.seed(randomSeed());
   context_.retryQuota.setLimits(
--- a/src/auburnspring/wire/peer_codec.cpp
+++ b/src/auburnspring/wire/peer_codec.cpp
@@ -214,7 +214,7 @@
                     job.pieces, job.key, job.inputs, job.resultBytes,
                     entry.targetIn.count(), entry.deadlineIn.count(),
                     job.valueDensity, job.hasExclusiveInputs,
-                    job.preferredDataCentre});
+                    job.preferredDataCentre, job.name});
   }
   nlohmann::json upstreams = nlohmann::json::array();
   for (const BatchUpstreamState &upstream : submit.upstreams)
@@ -250,6 +250,9 @@
     job.valueDensity = fields.at(11).get<double>();
     job.hasExclusiveInputs = fields.at(12).get<bool>();
     job.preferredDataCentre = fields.at(13).get<std::string>();
+    // Hosts of earlier releases do not send it.
+    if (fields.size() > 14)
+      job.name = fields.at(14).get<std::string>();
     submit.jobs.push_back(std::move(entry));
   }
   return submit;
--- a/src/auburnspring/wire/peer_codec_test.cpp
+++ b/src/auburnspring/wire/peer_codec_test.cpp
@@ -66,6 +66,7 @@
   JobSubmit::Entry entry;
   entry.job.host = "h";
   entry.job.requestId = "r";
+  entry.job.name = "request-1.2";
   entry.job.stage = 2;
   entry.job.attempt = 1;
   entry.job.pool = "p";
@@ -86,6 +87,7 @@
   const StageJob &job = decoded.jobs[0].job;
   CHECK(job.host == "h");
   CHECK(job.requestId == "r");
+  CHECK(job.name == "request-1.2");
   CHECK(job.stage == 2);
   CHECK(job.attempt == 1);
   CHECK(job.pool == "p");
