A host that is cut from all upstreams has its requests served by peers

Cause: a connection that fails was charged to its upstream alone, so no state said that this host reaches none; each attempt of its callers waited for a connection timeout, and the host that gathers a stage pool's batches was chosen by being alive, so that a cut one took the pool from all hosts.

Change: failed connections at two upstreams and a round of probes decide that a host is cut; peers learn it by heartbeats. It hands its callers' requests over, as they came, to peers with reach, which serve them like their own or refuse them at once; for at-most-once the peer is an upstream. It forms no batches meanwhile; probes end the cut.

--- a/include/auburnspring/decision/peer_message.h
+++ b/include/auburnspring/decision/peer_message.h
@@ -4,6 +4,7 @@
 #include "auburnspring/config/configuration.h"
 #include "auburnspring/config/settings.h"
 #include "auburnspring/decision/batch_upstream_state.h"
+#include "auburnspring/decision/helper_selection.h"
 #include "auburnspring/decision/part_crash.h"
 #include "auburnspring/decision/part_quarantine.h"
 #include "auburnspring/decision/stage_job.h"
@@ -151,6 +152,9 @@
   std::vector<PartQuarantine> quarantines;
   /// Limits that upstreams have named, or have ceased to name a short time ago.
   std::vector<UpstreamLimit> limits;
+  HostReach reach;
+  /// Port on which the sender takes requests of peers; 0 if it takes none.
+  std::uint16_t handOverPort = 0;
 };
 
 /// Submits jobs to the batching host of their pools. Times are sent as time
--- a/include/auburnspring/serving/active_request.h
+++ b/include/auburnspring/serving/active_request.h
@@ -26,10 +26,19 @@
   /// Retry-After of a refused request if there is no better estimate.
   static constexpr Duration DefaultRetryAfter = std::chrono::milliseconds(300);
 
+  /// Where the request comes from.
+  enum class Source { Caller, Peer };
+
   ActiveRequest(ServingContext *context,
-                std::shared_ptr<http::Exchange> exchange,
+                std::shared_ptr<http::Exchange> exchange, Source source,
                 FinishedHandler onFinished);
 
+  /// Header with the fleet's key, in a request that a peer hands over, and one
+  /// in a response of its own to such a request if it did not run.
+  static constexpr const char *PeerKeyHeader = "X-Auburnspring-Peer-Key";
+  static constexpr const char *NotRunHeader = "X-Auburnspring-Not-Run";
+
+  bool isFromPeer() const { return source_ == Source::Peer; }
   void start();
   /// Ends the request because the host is about to stop.
   void endForShutdown();
@@ -80,6 +89,14 @@
   /// Has the results made again that were released at the first event.
   bool restartStages();
 
+  // Peers that serve requests for this host.
+  /// This host can't serve the request itself: it reaches no upstream, or
+  /// another host knows the version of the stream.
+  bool mustHandOver() const;
+  void handOver();
+  /// The peer has answered for itself, without the response of an upstream.
+  void relayRefusal(const Attempt &attempt);
+
   // Stages.
   void startStages();
   void submitReadyStages();
@@ -101,6 +118,7 @@
   EngineChoice selectUpstream(const std::vector<std::string> &inputs,
                               absl::Span<const std::string> avoid);
   void startAttempt(const EngineChoice &choice);
+  Attempt *addAttempt(const UpstreamStatePtr &upstream, AttemptTokens tokens);
   /// The upstream of the choice names a limit, under which this request has got
   /// a permit or not.
   void onPermit(const EngineChoice &choice, bool granted);
@@ -156,6 +174,7 @@
 
   ServingContext *context_;
   std::shared_ptr<http::Exchange> exchange_;
+  Source source_;
   FinishedHandler onFinished_;
   std::shared_ptr<const RoutingTable> table_;
   const ServedRoute *route_ = nullptr;
--- a/include/auburnspring/serving/attempt.h
+++ b/include/auburnspring/serving/attempt.h
@@ -64,6 +64,12 @@
   bool isSound() const { return isSound_; }
   void setSound() { isSound_ = true; }
 
+  /// The attempt is a peer's, which serves the request for this host.
+  bool isHandOver() const { return isHandOver_; }
+  void setHandOver() { isHandOver_ = true; }
+  /// The peer states that the request did not run.
+  void setNotRun() { responseInfo_.isNotRun = true; }
+
   const UpstreamState &upstream() const { return *upstream_; }
   const UpstreamStatePtr &upstreamState() const { return upstream_; }
   UpstreamState *mutableUpstream() { return upstream_.get(); }
@@ -100,6 +106,7 @@
   TimePoint startedAt_;
   bool prefillDone_ = false;
   bool isSound_ = false;
+  bool isHandOver_ = false;
   std::optional<TimePoint> firstEventAt_;
   bool loadReleased_ = true;
   bool ended_ = false;
--- a/include/auburnspring/serving/dialect.h
+++ b/include/auburnspring/serving/dialect.h
@@ -96,6 +96,12 @@
   upstreamRequestHead(const http::RequestHead &caller,
                       const ForwardingParams &params,
                       std::size_t bodyBytes) const = 0;
+  /// Head of a caller's request that a peer serves for this host. It keeps what
+  /// the caller sent, except for the time left and the last event received.
+  virtual http::RequestHead handOverHead(const http::RequestHead &caller,
+                                         const ForwardingParams &params,
+                                         const std::string &requestId,
+                                         std::size_t bodyBytes) const = 0;
   virtual ResponseInfo
   parseResponseHead(const http::ResponseHead &head) const = 0;
   /// Head that is sent to the caller for an upstream's response.
--- a/include/auburnspring/serving/peer_network.h
+++ b/include/auburnspring/serving/peer_network.h
@@ -56,6 +56,12 @@
   /// message, or for a time that doubles while none arrives.
   void suspect(const std::string &host, TimePoint now);
 
+  /// A host that is cut from all upstreams, which may be this one, forms no
+  /// batches.
+  void setCut(const std::string &host, bool isCut);
+  /// Where the peer takes connections of peers; not set for an unknown one.
+  std::optional<Endpoint> endpoint(const std::string &host) const;
+
   bool isListed(const std::string &host) const;
   /// Hosts that take new work, including this one unless it is leaving.
   std::vector<std::string> availableHosts(TimePoint now) const;
@@ -67,8 +73,8 @@
   std::vector<BatchingCandidate> candidates(TimePoint now) const;
   std::optional<TimePoint> lastMessageAt(const std::string &host) const;
 
-  /// Available host that forms the batches of a pool; this host if there is no
-  /// other.
+  /// Available host with reach that forms the batches of a pool; this host if
+  /// there is no other.
   std::string batchingHost(const std::string &pool, TimePoint now) const;
 
   void send(const std::string &host, PeerMessage message);
@@ -95,6 +101,7 @@
     std::int64_t suspicions = 0;
     bool isListed = false;
     bool isLeaving = false;
+    bool isCut = false;
     bool messageReceived = false;
   };
 
@@ -108,6 +115,7 @@
   PeerMesh mesh_;
   std::map<std::string, Peer> peers_;
   bool selfLeaving_ = false;
+  bool selfCut_ = false;
 };
 
 } // namespace auburnspring
--- a/include/auburnspring/serving/piece_dispatcher.h
+++ b/include/auburnspring/serving/piece_dispatcher.h
@@ -21,6 +21,7 @@
 namespace auburnspring {
 
 class PartGuardExchange;
+class ReachExchange;
 
 /// Sends this host's stage jobs to the batching host of their pool, and runs
 /// the batchers of the pools that are assigned to this host.
@@ -74,6 +75,8 @@
 
   /// Sets what is told of jobs that crash upstreams.
   void setPartGuard(PartGuardExchange *guard) { partGuard_ = guard; }
+  /// Sets what is told of upstreams that can't be reached.
+  void setReach(ReachExchange *reach) { reach_ = reach; }
 
   Counters counters() const { return counters_; }
   std::size_t outstandingCount() const { return outstanding_.size(); }
@@ -155,6 +158,7 @@
   UpstreamRegistry *registry_;
   RequestLimitExchange *requestLimits_;
   PartGuardExchange *partGuard_ = nullptr;
+  ReachExchange *reach_ = nullptr;
   BatchLimitsLookup batchLimits_;
   std::map<JobKey, OutstandingJob> outstanding_;
   std::map<std::string, std::unique_ptr<PoolBatcher>> poolBatchers_;
--- a/include/auburnspring/serving/serving_context.h
+++ b/include/auburnspring/serving/serving_context.h
@@ -10,6 +10,7 @@
 #include "auburnspring/serving/dialect.h"
 #include "auburnspring/serving/part_guard_exchange.h"
 #include "auburnspring/serving/piece_dispatcher.h"
+#include "auburnspring/serving/reach_exchange.h"
 #include "auburnspring/serving/request_limit_exchange.h"
 #include "auburnspring/serving/serving_metrics.h"
 #include "auburnspring/serving/stream_origin_exchange.h"
@@ -36,6 +37,9 @@
   StreamOriginExchange *streamOrigins = nullptr;
   PartGuardExchange *partGuard = nullptr;
   RequestLimitExchange *requestLimits = nullptr;
+  ReachExchange *reach = nullptr;
+  /// Shared by all hosts; proves that a request comes from a peer.
+  std::string peerKey;
   PoolVersionHistory versionHistory;
   ServingMetrics metrics;
   /// Recent time from the submission of a stage to its results, by pool.
--- a/include/auburnspring/serving/serving_host.h
+++ b/include/auburnspring/serving/serving_host.h
@@ -56,6 +56,8 @@
   // Peers.
   void onPeerMessage(const std::string &from, const PeerMessage &message);
   void onHeartbeat(const std::string &from, const HostHeartbeat &heartbeat);
+  /// Tells some cut peers of a large fleet that this host may help.
+  void answerCutPeer(const std::string &from, const HostHeartbeat &heartbeat);
   void onReplicaRequest(const std::string &from, const ReplicaRequest &request);
   void onReplicaReply(const ReplicaReply &reply);
   void onVersionUpdate(const std::string &from,
@@ -73,6 +75,11 @@
 
   // Callers, readiness probes and metrics.
   void onCaller(std::shared_ptr<http::Exchange> exchange);
+  void onHandedOver(std::shared_ptr<http::Exchange> exchange);
+  void startRequest(std::shared_ptr<http::Exchange> exchange,
+                    ActiveRequest::Source source);
+  /// Requests in progress that peers have handed over.
+  std::int64_t handedOverCount() const;
   void onReadiness(http::Exchange *exchange);
   void onMetrics(http::Exchange *exchange);
   bool isReady() const;
@@ -90,8 +97,11 @@
   PieceDispatcher pieceDispatcher_;
   StreamOriginExchange streamOrigins_;
   PartGuardExchange partGuard_;
+  ReachExchange reach_;
   StoreFollower follower_;
   http::Server callerServer_;
+  /// Takes requests of peers that reach no upstream.
+  http::Server handOverServer_;
   http::Server readinessServer_;
   http::Server metricsServer_;
   asio::steady_timer tickTimer_;
--- a/include/auburnspring/serving/settings.h
+++ b/include/auburnspring/serving/settings.h
@@ -20,6 +20,9 @@
   Endpoint readiness;
   Endpoint peers;
   Endpoint metrics;
+  /// Where requests of peers that reach no upstream are taken; any free port if
+  /// it is 0.
+  Endpoint handOver;
   std::string peerKey;
   Endpoint store;
   std::string logLevel = "info";
--- a/src/auburnspring/serving/active_request.cpp
+++ b/src/auburnspring/serving/active_request.cpp
@@ -20,8 +20,8 @@
 
 ActiveRequest::ActiveRequest(ServingContext *context,
                              std::shared_ptr<http::Exchange> exchange,
-                             FinishedHandler onFinished)
-    : context_(context), exchange_(std::move(exchange)),
+                             Source source, FinishedHandler onFinished)
+    : context_(context), exchange_(std::move(exchange)), source_(source),
       onFinished_(std::move(onFinished)), table_(context->table),
       deadlineTimer_(*context->io), progressTimer_(*context->io),
       overlapTimer_(*context->io) {}
@@ -50,6 +50,8 @@
 
 void ActiveRequest::begin() {
   lastEventId_ = request_.lastEventId;
+  if (mustHandOver())
+    return handOver();
   isResumption() ? findOrigin() : startStages();
 }
 
@@ -162,8 +164,11 @@
 void ActiveRequest::refuse(int status, std::string_view reason,
                            std::optional<Duration> retryAfter) {
   context_->metrics.countRefusal(std::string(reason));
-  exchange_->respond(
-      context_->dialect->localReply(status, request_.id, retryAfter), "");
+  http::ResponseHead reply =
+      context_->dialect->localReply(status, request_.id, retryAfter);
+  if (isFromPeer() && status == 503)
+    reply.headers.add(NotRunHeader, "1");
+  exchange_->respond(std::move(reply), "");
   const char *outcome = status == 503   ? "not_run"
                         : status >= 500 ? "unknown"
                                         : "rejected";
--- a/src/auburnspring/serving/active_request_attempts.cpp
+++ b/src/auburnspring/serving/active_request_attempts.cpp
@@ -61,6 +61,8 @@
   }
   if (awaitsPermit_ || holdIfQuarantined())
     return;
+  if (mustHandOver())
+    return handOver();
   const EngineChoice choice = selectUpstream(plan_.finalResults());
   if (choice.engine == nullptr) {
     if (hasLiveAttempt())
@@ -110,14 +112,27 @@
   // Of several attempts the one that brings the first event decides.
   if (!streamStarted_ && !hasLiveAttempt())
     recordOrigin(*upstream);
-  triedUpstreams_.push_back(upstream->entry.id);
-  ++possibleRuns_;
   std::int64_t sharedTokens = 0;
   for (const PromptPart &part : sharedParts())
     sharedTokens += part.tokens;
   const AttemptTokens tokens{
       std::max<std::int64_t>(0, request_.promptTokens - sharedTokens),
       request_.promptTokens + request_.outputTokens, choice.pendingTokens};
+  Attempt *attempt = addAttempt(upstream, tokens);
+  attempt->start(
+      context_->dialect->upstreamRequestHead(
+          exchange_->head, forwardingParams(*upstream), exchange_->body.size()),
+      exchange_->body, request_.id, now);
+  if (route_->isStream)
+    armStallTimer();
+  else
+    armHedgeTimer();
+}
+
+Attempt *ActiveRequest::addAttempt(const UpstreamStatePtr &upstream,
+                                   AttemptTokens tokens) {
+  triedUpstreams_.push_back(upstream->entry.id);
+  ++possibleRuns_;
   Attempt::Events events;
   auto attempt = std::make_unique<Attempt>(*context_->io, context_->dialect,
                                            upstream, tokens);
@@ -131,14 +146,7 @@
   raw->setEvents(std::move(events));
   raw->meter().setOutputTokens(request_.outputTokens);
   attempts_.push_back(std::move(attempt));
-  raw->start(context_->dialect->upstreamRequestHead(exchange_->head,
-                                                    forwardingParams(*upstream),
-                                                    exchange_->body.size()),
-             exchange_->body, request_.id, now);
-  if (route_->isStream)
-    armStallTimer();
-  else
-    armHedgeTimer();
+  return raw;
 }
 
 bool ActiveRequest::isEventStream(const Attempt &attempt) const {
@@ -147,6 +155,12 @@
 }
 
 void ActiveRequest::onHead(Attempt *attempt) {
+  if (attempt->isHandOver()) {
+    if (attempt->head().headers.find(NotRunHeader) != nullptr)
+      attempt->setNotRun();
+    return;
+  }
+  context_->reach->onConnected(attempt->startedAt());
   applyUpstreamStatements(attempt->responseInfo(), attempt->mutableUpstream(),
                           &context_->registry, steadyNow());
   context_->requestLimits->onResponse(
@@ -223,6 +237,12 @@
 
 void ActiveRequest::startStream(Attempt *attempt) {
   streamStarted_ = true;
+  if (attempt->isHandOver()) {
+    context_->metrics.observeFirstEvent(route_->name,
+                                        steadyNow() - exchange_->receivedAt);
+    return exchange_->begin(
+        context_->dialect->callerResponseHead(attempt->head()));
+  }
   softwareVersion_ = attempt->upstream().entry.softwareVersion;
   recordOrigin(attempt->upstream());
   attempt->notePrefillDone();
@@ -263,6 +283,8 @@
   const char *end = "answered";
   if (!report.mayHaveBeenSent) {
     recordUnreachable(upstream, now);
+    if (!attempt->isHandOver())
+      context_->reach->onUnreachable(upstream->entry.id);
     end = "unreachable";
   } else if (report.isNotRun) {
     recordUpstreamFailure(upstream, now);
@@ -332,6 +354,9 @@
       retryHedge(attempt);
     return;
   }
+  if (attempt->isHandOver() && report.isComplete && !report.isSigned &&
+      !report.isNotRun && !streamStarted_)
+    return relayRefusal(*attempt);
   const bool inputsGone = attempt->responseInfo().areInputsGone;
   AttemptLimits limits;
   limits.possibleRuns = possibleRuns_;
@@ -342,7 +367,7 @@
     return;
   // Before the stages run again, and before a retry is spent.
   if (step == RetryDecision::RetryElsewhere && streamStarted_ &&
-      selectUpstream({}).engine == nullptr)
+      !mustHandOver() && selectUpstream({}).engine == nullptr)
     return abortStream(missingUpstreamReason());
   if (step == RetryDecision::RetryElsewhere && !takeRetry())
     step = decideWithoutRetry(report, possibleRuns_);
@@ -352,7 +377,7 @@
   if (!isSuccess && hasLiveAttempt())
     return;
   if (step == RetryDecision::RetryElsewhere) {
-    if (inputsGone || needsStagesAgain())
+    if (!mustHandOver() && (inputsGone || needsStagesAgain()))
       return rerunStages(attempt);
     return dispatch();
   }
--- a/src/auburnspring/serving/active_request_parts.cpp
+++ b/src/auburnspring/serving/active_request_parts.cpp
@@ -66,8 +66,8 @@
 }
 
 void ActiveRequest::noteSound(Attempt *attempt) {
-  if (attempt->isSound() || attempt->head().status >= 500 ||
-      attempt->responseInfo().isNotRun)
+  if (attempt->isHandOver() || attempt->isSound() ||
+      attempt->head().status >= 500 || attempt->responseInfo().isNotRun)
     return;
   attempt->setSound();
   context_->partGuard->onSound(partNames_);
@@ -75,7 +75,8 @@
 
 void ActiveRequest::noteBroken(const Attempt &attempt) {
   const AttemptReport report = attempt.report();
-  if (attempt.isSound() || report.isComplete || !mayHaveRun(report))
+  if (attempt.isHandOver() || attempt.isSound() || report.isComplete ||
+      !mayHaveRun(report))
     return;
   context_->partGuard->onBroken(partNames_, attempt.upstream().entry,
                                 steadyNow() - attempt.startedAt());
--- a/src/auburnspring/serving/peer_network.cpp
+++ b/src/auburnspring/serving/peer_network.cpp
@@ -122,6 +122,20 @@
     found->second.isLeaving = leaving;
 }
 
+void PeerNetwork::setCut(const std::string &host, bool isCut) {
+  if (host == options_.host)
+    selfCut_ = isCut;
+  else if (const auto found = peers_.find(host); found != peers_.end())
+    found->second.isCut = isCut;
+}
+
+std::optional<Endpoint> PeerNetwork::endpoint(const std::string &host) const {
+  const auto found = peers_.find(host);
+  return found == peers_.end()
+             ? std::nullopt
+             : std::optional<Endpoint>(found->second.endpoint);
+}
+
 void PeerNetwork::suspect(const std::string &host, TimePoint now) {
   const auto found = peers_.find(host);
   if (found == peers_.end())
@@ -210,7 +224,15 @@
 
 std::string PeerNetwork::batchingHost(const std::string &pool,
                                       TimePoint now) const {
-  const std::string_view chosen = chooseBatchingHost(pool, candidates(now));
+  std::vector<BatchingCandidate> hosts = candidates(now);
+  const auto firstCut = std::stable_partition(
+      hosts.begin(), hosts.end(), [this](const BatchingCandidate &candidate) {
+        const auto peer = peers_.find(std::string(candidate.host));
+        return peer == peers_.end() ? !selfCut_ : !peer->second.isCut;
+      });
+  if (firstCut != hosts.begin())
+    hosts.erase(firstCut, hosts.end());
+  const std::string_view chosen = chooseBatchingHost(pool, hosts);
   return chosen.empty() ? options_.host : std::string(chosen);
 }
 
--- a/src/auburnspring/serving/piece_dispatcher.cpp
+++ b/src/auburnspring/serving/piece_dispatcher.cpp
@@ -3,6 +3,7 @@
 #include "auburnspring/base/clock.h"
 #include "auburnspring/base/log.h"
 #include "auburnspring/serving/part_guard_exchange.h"
+#include "auburnspring/serving/reach_exchange.h"
 #include "auburnspring/serving/upstream_statements.h"
 
 #include <algorithm>
@@ -298,6 +299,8 @@
     const ResponseInfo response = dialect_->parseResponseHead(head);
     entry.status = head.status;
     entry.notRun = response.isNotRun;
+    if (reach_ != nullptr)
+      reach_->onConnected(entry.startedAt);
     applyUpstreamStatements(response, entry.upstream.get(), registry_,
                             steadyNow());
     requestLimits_->onResponse(response, entry.upstream, entry.startedAt);
@@ -344,6 +347,8 @@
   BatchCall call = std::move(found->second);
   batches_.erase(found);
   call.timer->cancel();
+  if (callStatus == http::CallStatus::NotSent && reach_ != nullptr)
+    reach_->onUnreachable(call.upstream->entry.id);
   const bool isBroken =
       callStatus == http::CallStatus::Failed && failure != Silent;
   BatchStatus batchStatus =
--- a/src/auburnspring/serving/serving_host.cpp
+++ b/src/auburnspring/serving/serving_host.cpp
@@ -19,6 +19,10 @@
 constexpr Duration TickInterval = std::chrono::milliseconds(100);
 /// Ticks between two heartbeats.
 constexpr std::uint64_t TicksPerHeartbeat = 2;
+/// Ticks between two heartbeats of a cut host to all peers, and how many of
+/// them answer each in a large fleet.
+constexpr std::uint64_t TicksPerCutHeartbeat = 10;
+constexpr double AnswersPerCutHeartbeat = 16;
 /// Ticks between two version updates of a host that watches the store.
 constexpr std::uint64_t TicksPerVersionUpdate = 2;
 /// Idle connections stay open this long after SIGTERM, for callers that do not
@@ -81,6 +85,8 @@
       streamOrigins_(io, &peers_),
       partGuard_(io, &peers_, store, dialect->quarantinePrefix(),
                  &context_.metrics),
+      reach_(io, &peers_, &context_.registry, settings_.dataCentre,
+             randomSeed()),
       follower_(io, store,
                 {dialect->hostPrefix() + settings_.host,
                  hostEntry(settings_, false), hostEntry(settings_, true),
@@ -94,6 +100,10 @@
                     [this](std::shared_ptr<http::Exchange> exchange) {
                       onCaller(std::move(exchange));
                     }),
+      handOverServer_(io,
+                      [this](std::shared_ptr<http::Exchange> exchange) {
+                        onHandedOver(std::move(exchange));
+                      }),
       readinessServer_(io,
                        [this](const std::shared_ptr<http::Exchange> &exchange) {
                          onReadiness(exchange.get());
@@ -110,7 +120,10 @@
   context_.pieceDispatcher = &pieceDispatcher_;
   context_.streamOrigins = &streamOrigins_;
   context_.partGuard = &partGuard_;
+  context_.reach = &reach_;
+  context_.peerKey = settings_.peerKey;
   pieceDispatcher_.setPartGuard(&partGuard_);
+  pieceDispatcher_.setReach(&reach_);
   context_.requestLimits = &requestLimits_;
   context_.random.seed(randomSeed());
   context_.retryQuota.setLimits(
@@ -125,6 +138,8 @@
     status = callerServer_.listen(settings_.callers);
   if (status.ok())
     status = readinessServer_.listen(settings_.readiness);
+  if (status.ok())
+    status = handOverServer_.listen(settings_.handOver);
   if (!status.ok())
     return status;
   // Metrics are optional: the host serves without them.
@@ -202,6 +217,10 @@
   callerServer_.setLimits({static_cast<std::size_t>(limits.maxHeadBytes),
                            static_cast<std::size_t>(limits.maxBodyBytes),
                            limits.headTimeout, limits.idleTimeout});
+  // The host that hands a request over has checked it, and adds headers.
+  handOverServer_.setLimits({2 * static_cast<std::size_t>(limits.maxHeadBytes),
+                             static_cast<std::size_t>(limits.maxBodyBytes),
+                             limits.headTimeout, limits.idleTimeout});
   pieceDispatcher_.onUpstreamsChanged();
 }
 
@@ -338,10 +357,24 @@
   streamOrigins_.onOrigins(heartbeat.origins);
   partGuard_.onHeartbeat(from, heartbeat.quarantines);
   requestLimits_.onHeartbeat(from, heartbeat.limits);
+  answerCutPeer(from, heartbeat);
+  reach_.onHeartbeat(from, heartbeat);
   onPeerStoreVersion(from, heartbeat.storeVersion, heartbeat.storeVersionAge);
   requestNewerConfiguration(from, heartbeat);
 }
 
+void ServingHost::answerCutPeer(const std::string &from,
+                                const HostHeartbeat &heartbeat) {
+  // In a small fleet it receives the heartbeats of all hosts.
+  if (!heartbeat.reach.isCut || reach_.isCut() || stopping_ ||
+      peers_.peerCount() <= PeerNetwork::HeartbeatFanout)
+    return;
+  const double share =
+      AnswersPerCutHeartbeat / static_cast<double>(peers_.peerCount());
+  if (std::bernoulli_distribution(std::min(share, 1.0))(context_.random))
+    peers_.send(from, takeHeartbeat());
+}
+
 void ServingHost::onVersionUpdate(const std::string &from,
                                   const StoreVersionUpdate &update) {
   watcherSelector_.onWatcherUpdate(from, steadyNow());
@@ -407,6 +440,9 @@
   heartbeat.origins = streamOrigins_.takeForHeartbeat();
   heartbeat.quarantines = partGuard_.statesForHeartbeat();
   heartbeat.limits = requestLimits_.limitsForHeartbeat();
+  heartbeat.reach = reach_.ownReach(static_cast<std::int64_t>(requests_.size()),
+                                    settings_.processorShare);
+  heartbeat.handOverPort = handOverServer_.endpoint().port;
   heartbeat.storeVersion = follower_.replica().version();
   heartbeat.storeVersionAge = follower_.versionAge();
   heartbeat.storeReachable = follower_.isReachable();
@@ -438,8 +474,42 @@
     return exchange->respond(dialect_->localReply(503, id, StoppingRetryAfter),
                              "");
   }
+  startRequest(std::move(exchange), ActiveRequest::Source::Caller);
+}
+
+std::int64_t ServingHost::handedOverCount() const {
+  return std::count_if(
+      requests_.begin(), requests_.end(),
+      [](const auto &request) { return request.second->isFromPeer(); });
+}
+
+void ServingHost::onHandedOver(std::shared_ptr<http::Exchange> exchange) {
+  const std::string *key =
+      exchange->head.headers.find(ActiveRequest::PeerKeyHeader);
+  if (key == nullptr || *key != settings_.peerKey)
+    return exchange->respond({403, {}}, "");
+  exchange->head.headers.remove(ActiveRequest::PeerKeyHeader);
+  const std::int64_t handedOver = handedOverCount();
+  const auto own = static_cast<std::int64_t>(requests_.size()) - handedOver;
+  if (stopping_ || reach_.isCut() || !mayHelp(own, handedOver)) {
+    const std::string id = dialect_->parseCallerRequest(exchange->head).id;
+    logEvent(LogLevel::Info, "help_refused",
+             {{"id", id},
+              {"cut", reach_.isCut()},
+              {"own", static_cast<long>(own)},
+              {"handed_over", static_cast<long>(handedOver)}});
+    http::ResponseHead reply =
+        dialect_->localReply(503, id, ActiveRequest::DefaultRetryAfter);
+    reply.headers.add(ActiveRequest::NotRunHeader, "1");
+    return exchange->respond(std::move(reply), "");
+  }
+  startRequest(std::move(exchange), ActiveRequest::Source::Peer);
+}
+
+void ServingHost::startRequest(std::shared_ptr<http::Exchange> exchange,
+                               ActiveRequest::Source source) {
   auto request = std::make_shared<ActiveRequest>(
-      &context_, std::move(exchange),
+      &context_, std::move(exchange), source,
       [this](ActiveRequest *done) { requests_.erase(done); });
   requests_[request.get()] = request;
   request->start();
@@ -508,7 +578,14 @@
 
 void ServingHost::tick() {
   const TimePoint now = steadyNow();
-  if (++ticks_ % TicksPerHeartbeat == 0)
+  ++ticks_;
+  // All peers learn of a cut, since any may choose this host for a role, and
+  // any may help.
+  const bool tellsAll =
+      reach_.tick() || (reach_.isCut() && ticks_ % TicksPerCutHeartbeat == 0);
+  if (tellsAll)
+    peers_.broadcast(takeHeartbeat(), peers_.peerCount());
+  else if (ticks_ % TicksPerHeartbeat == 0)
     peers_.broadcast(takeHeartbeat(), PeerNetwork::HeartbeatFanout);
   streamOrigins_.tick();
   partGuard_.tick();
--- a/src/auburnspring/serving/settings.cpp
+++ b/src/auburnspring/serving/settings.cpp
@@ -52,6 +52,10 @@
   reader.text("ip", &ip, Presence::Required);
   settings.peers = readPort(&reader, "peer_port", ip);
   settings.metrics = readPort(&reader, "metrics_port", ip);
+  std::int64_t handOverPort = 0;
+  reader.integer("hand_over_port", &handOverPort, 0, MaxPort,
+                 Presence::Optional);
+  settings.handOver = {ip, static_cast<std::uint16_t>(handOverPort)};
   reader.text("peer_key", &settings.peerKey, Presence::Required);
   settings.store = readEndpoint(&reader, "store");
   reader.text("log_level", &settings.logLevel, Presence::Optional);
--- a/src/auburnspring/wire/peer_codec.cpp
+++ b/src/auburnspring/wire/peer_codec.cpp
@@ -156,6 +156,28 @@
           json.at("rev").get<std::int64_t>()};
 }
 
+nlohmann::json toJson(const HostReach &reach) {
+  nlohmann::json fields = {{"cut", reach.isCut},
+                           {"active", reach.activeRequests},
+                           {"share", reach.processorShare},
+                           {"dc", reach.dataCentre}};
+  if (reach.connectionAge)
+    fields["connected"] = reach.connectionAge->count();
+  return fields;
+}
+
+/// Hosts of earlier releases send none; they are not cut, as far as is known.
+HostReach readReach(const nlohmann::json &json) {
+  HostReach reach;
+  reach.isCut = json.value("cut", false);
+  if (json.contains("connected"))
+    reach.connectionAge = Duration(json.at("connected").get<std::int64_t>());
+  reach.activeRequests = json.value<std::int64_t>("active", 0);
+  reach.processorShare = json.value("share", 1.0);
+  reach.dataCentre = json.value("dc", std::string());
+  return reach;
+}
+
 nlohmann::json toJson(const HostHeartbeat &heartbeat) {
   nlohmann::json loads = nlohmann::json::array();
   for (const UpstreamLoad &load : heartbeat.loads)
@@ -173,7 +195,9 @@
                       {"notices", std::move(notices)},
                       {"origins", toJson(heartbeat.origins)},
                       {"quarantines", toJson(heartbeat.quarantines)},
-                      {"limits", toJson(heartbeat.limits)}},
+                      {"limits", toJson(heartbeat.limits)},
+                      {"reach", toJson(heartbeat.reach)},
+                      {"hand_over", heartbeat.handOverPort}},
                      heartbeat.storeVersion);
 }
 
@@ -203,6 +227,8 @@
   heartbeat.quarantines =
       readQuarantines(json.value("quarantines", nlohmann::json::array()));
   heartbeat.limits = readLimits(json.value("limits", nlohmann::json::array()));
+  heartbeat.reach = readReach(json.value("reach", nlohmann::json::object()));
+  heartbeat.handOverPort = json.value<std::uint16_t>("hand_over", 0);
   return heartbeat;
 }
 
--- a/src/auburnspring/wire/peer_codec_test.cpp
+++ b/src/auburnspring/wire/peer_codec_test.cpp
@@ -140,7 +140,15 @@
                               {{"v", 1700, true, Duration(5)}},
                               {},
                               {},
-                              {}});
+                              {},
+                              {true, Duration(70), 12, 0.25, "dc"},
+                              7755});
+  CHECK(heartbeat.reach.isCut);
+  CHECK(heartbeat.reach.connectionAge == Duration(70));
+  CHECK(heartbeat.reach.activeRequests == 12);
+  CHECK(heartbeat.reach.processorShare == 0.25);
+  CHECK(heartbeat.reach.dataCentre == "dc");
+  CHECK(heartbeat.handOverPort == 7755);
   CHECK(heartbeat.storeVersion == StoreVersion{3, 9});
   CHECK(heartbeat.storeVersionAge == Duration(6));
   CHECK(heartbeat.configurationVersion == 11);
