--- a/include/auburnspring/serving/active_request.h
+++ b/include/auburnspring/serving/active_request.h
@@ -94,8 +94,9 @@
   /// another host knows the version of the stream.
   bool mustHandOver() const;
   void handOver();
-  /// The peer has answered for itself, without the response of an upstream.
-  void relayRefusal(const Attempt &attempt);
+  /// Responds as the peer has: it has tried as many upstreams as the route
+  /// allows, and its own responses are no upstream's.
+  void relayFromPeer(Attempt *attempt);
 
   // Stages.
   void startStages();
--- a/include/auburnspring/serving/serving_metrics.h
+++ b/include/auburnspring/serving/serving_metrics.h
@@ -36,6 +36,9 @@
   /// Counts a permit that was asked for, to send a request to an upstream that
   /// names a limit.
   void countPermit(const std::string &pool, bool granted);
+  /// Counts a request that a host without reach and a peer deal with: `sent` to
+  /// a peer, `taken` from one, or `refused` to one.
+  void countHandOver(const std::string &side);
   /// Sets a gauge that is updated on each scrape.
   void set(const std::string &name, double value);
 
@@ -54,6 +57,7 @@
   prometheus::Family<prometheus::Counter> *resumptions_;
   prometheus::Family<prometheus::Counter> *quarantines_;
   prometheus::Family<prometheus::Counter> *permits_;
+  prometheus::Family<prometheus::Counter> *handOvers_;
   prometheus::Family<prometheus::Gauge> *state_;
 };
 
--- a/src/auburnspring/serving/active_request_attempts.cpp
+++ b/src/auburnspring/serving/active_request_attempts.cpp
@@ -354,9 +354,9 @@
       retryHedge(attempt);
     return;
   }
-  if (attempt->isHandOver() && report.isComplete && !report.isSigned &&
-      !report.isNotRun && !streamStarted_)
-    return relayRefusal(*attempt);
+  if (attempt->isHandOver() && report.isComplete && !report.isNotRun &&
+      !streamStarted_)
+    return relayFromPeer(attempt);
   const bool inputsGone = attempt->responseInfo().areInputsGone;
   AttemptLimits limits;
   limits.possibleRuns = possibleRuns_;
--- a/src/auburnspring/serving/active_request_hand_over.cpp
+++ b/src/auburnspring/serving/active_request_hand_over.cpp
@@ -29,6 +29,7 @@
             {"helper", helper->entry.id},
             {"last_event", static_cast<long>(lastEventId_.value_or(-1))},
             {"left_ms", toMillis(timeLeft())}});
+  context_->metrics.countHandOver("sent");
   Attempt *attempt = addAttempt(helper, {});
   attempt->setHandOver();
   http::RequestHead head = context_->dialect->handOverHead(
@@ -38,8 +39,10 @@
   attempt->start(head, exchange_->body, request_.id, steadyNow());
 }
 
-void ActiveRequest::relayRefusal(const Attempt &attempt) {
-  const int status = attempt.head().status;
+void ActiveRequest::relayFromPeer(Attempt *attempt) {
+  if (attempt->report().isSigned)
+    return relay(attempt);
+  const int status = attempt->head().status;
   // It may have run, and has been tried as often as its route allows.
   refuse(status >= 400 && status != 503 ? status : 502, "helper_refused");
 }
--- a/src/auburnspring/serving/active_request_hedge.cpp
+++ b/src/auburnspring/serving/active_request_hedge.cpp
@@ -60,7 +60,8 @@
 
 void ActiveRequest::onStall() {
   Attempt *silent = liveAttempt();
-  if (silent == nullptr)
+  // A peer hedges what it serves for this host.
+  if (silent == nullptr || silent->isHandOver())
     return;
   isStalled_ = true;
   UpstreamState *upstream = silent->mutableUpstream();
--- a/src/auburnspring/serving/serving_host.cpp
+++ b/src/auburnspring/serving/serving_host.cpp
@@ -493,6 +493,7 @@
   const auto own = static_cast<std::int64_t>(requests_.size()) - handedOver;
   if (stopping_ || reach_.isCut() || !mayHelp(own, handedOver)) {
     const std::string id = dialect_->parseCallerRequest(exchange->head).id;
+    context_.metrics.countHandOver("refused");
     logEvent(LogLevel::Info, "help_refused",
              {{"id", id},
               {"cut", reach_.isCut()},
@@ -503,6 +504,7 @@
     reply.headers.add(ActiveRequest::NotRunHeader, "1");
     return exchange->respond(std::move(reply), "");
   }
+  context_.metrics.countHandOver("taken");
   startRequest(std::move(exchange), ActiveRequest::Source::Peer);
 }
 
@@ -547,6 +549,7 @@
   metrics.set("stage_jobs_outstanding",
               static_cast<double>(pieceDispatcher_.outstandingCount()));
   metrics.set("stream_origins", static_cast<double>(streamOrigins_.size()));
+  metrics.set("cut", reach_.isCut() ? 1 : 0);
   metrics.set("limited_upstreams",
               static_cast<double>(requestLimits_.limitedCount()));
   metrics.set("quarantined_parts",
--- a/src/auburnspring/serving/serving_metrics.cpp
+++ b/src/auburnspring/serving/serving_metrics.cpp
@@ -59,6 +59,10 @@
                     .Help("Permits asked for to send a request to an upstream "
                           "that names a limit, by pool")
                     .Register(registry_)),
+      handOvers_(&prometheus::BuildCounter()
+                      .Name("auburnspring_hand_overs_total")
+                      .Help("Requests that hosts without reach hand to peers")
+                      .Register(registry_)),
       state_(&prometheus::BuildGauge()
                   .Name("auburnspring_state")
                   .Help("Current state of the host")
@@ -102,6 +106,10 @@
   quarantines_->Add({{"change", change}}).Increment();
 }
 
+void ServingMetrics::countHandOver(const std::string &side) {
+  handOvers_->Add({{"side", side}}).Increment();
+}
+
 void ServingMetrics::countPermit(const std::string &pool, bool granted) {
   permits_->Add({{"pool", pool}, {"granted", granted ? "yes" : "no"}})
       .Increment();
