--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -17,12 +17,12 @@
 constexpr double BoutSeconds = 6.5;
 constexpr double Slowness = 8;
 constexpr int StageWorkers = 7;
-constexpr int ModelWorkers = 4;
+constexpr int ModelWorkers = 6;
 constexpr int Reporters = 80;
-constexpr int Bookers = 60;
+constexpr int Bookers = 100;
 /// Requests a second of all consumers.
 constexpr double Reports = 40;
-constexpr double Bookings = 160;
+constexpr double Bookings = 300;
 constexpr int ReportMs = 8000;
 constexpr int BookingMs = 1500;
 /// More than so many such losses break the rule.
--- a/review/stand_ins/deployment.cpp
+++ b/review/stand_ins/deployment.cpp
@@ -6,6 +6,7 @@
 
 #include <fcntl.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -120,6 +121,8 @@
 void Deployment::startProcess(Machine *machine) {
   const pid_t child = ::fork();
   if (child == 0) {
+    // It ends with this process, however that ends.
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
     const int log = ::open(machine->logFile.c_str(),
                            O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
     ::dup2(log, 1);
