--- a/review/stand_ins/deployment.cpp
+++ b/review/stand_ins/deployment.cpp
@@ -54,7 +54,9 @@
     const std::uint16_t *port = &ports[static_cast<std::size_t>(i) * 5];
     auto machine = std::make_unique<Machine>();
     machine->name = fmt::format("frontend-{}-1", static_cast<char>('a' + i));
-    machine->zone = fmt::format("zone-{}", static_cast<char>('a' + i));
+    machine->zone = options_.isOneZone
+                        ? "zone-a"
+                        : fmt::format("zone-{}", static_cast<char>('a' + i));
     machine->ip = "127.0.0.1";
     machine->frontend = port[0];
     machine->readiness = port[1];
@@ -78,10 +80,31 @@
         {"store", toString(store_.endpoint())}};
     settings.update(options_.settings);
     std::ofstream(machine->settingsFile) << settings.dump(2) << "\n";
+    if (options_.linkBytesPerSecond > 0)
+      addLink(*machine, port[2]);
     machines_.push_back(std::move(machine));
   }
 }
 
+void Deployment::addLink(const Machine &machine, std::uint16_t peerPort) {
+  const auto link = links_.emplace(
+      machine.name,
+      std::make_unique<Link>(io_, peerPort, options_.linkBytesPerSecond));
+  (void)link;
+  // The machines meet each other at the addresses of their links.
+  store_.transformWrite = [this](const std::string &key,
+                                 const std::string &value) {
+    const std::string prefix = "hosts/";
+    const auto found = key.rfind(prefix, 0) == 0
+                           ? links_.find(key.substr(prefix.size()))
+                           : links_.end();
+    if (found == links_.end())
+      return value;
+    return fmt::format("127.0.0.1:{}{}", found->second->port(),
+                       value.substr(value.find(' ')));
+  };
+}
+
 void Deployment::stop() {
   isEnding_ = true;
   if (prober_.joinable())
--- a/review/stand_ins/deployment.h
+++ b/review/stand_ins/deployment.h
@@ -2,6 +2,7 @@
 #define AUBURNSPRING_REVIEW_DEPLOYMENT_H
 
 #include "channel.h"
+#include "link.h"
 #include "record.h"
 #include "worker.h"
 
@@ -9,6 +10,7 @@
 #include <sys/types.h>
 
 #include <atomic>
+#include <map>
 #include <memory>
 #include <string>
 #include <thread>
@@ -45,6 +47,10 @@
     nlohmann::json settings;
     /// Memory that a process may use; it is killed above that. 0: any.
     int memoryMb = 0;
+    /// All machines are in one zone.
+    bool isOneZone = false;
+    /// What a machine receives from the others in a second; 0: any.
+    std::size_t linkBytesPerSecond = 0;
   };
 
   Deployment(Options options, const std::string &recordFile);
@@ -74,6 +80,8 @@
   void tick();
 
 private:
+  /// Puts a link of limited bandwidth before the machine's port for peers.
+  void addLink(const Machine &machine, std::uint16_t peerPort);
   void startProcess(Machine *machine);
   void checkMemory(Machine *machine);
   void askReadiness();
@@ -84,6 +92,7 @@
   asio::executor_work_guard<asio::io_context::executor_type> work_;
   Store store_;
   std::vector<std::unique_ptr<Worker>> workers_;
+  std::map<std::string, std::unique_ptr<Link>> links_;
   HeldResults results_;
   std::vector<std::unique_ptr<Machine>> machines_;
   std::string folder_;
