Replica exchange of its own; replies between replicas and dropped messages are counted and logged

Logs and metrics could not tell lost messages from late ones.

Change: fetches and replies of replicas move from ServingHost to ReplicaExchange, without a change in what they do.

--- a/include/auburnspring/serving/serving_host.h
+++ b/include/auburnspring/serving/serving_host.h
@@ -5,6 +5,7 @@
 #include "auburnspring/http/server.h"
 #include "auburnspring/serving/active_request.h"
 #include "auburnspring/serving/peer_network.h"
+#include "auburnspring/serving/replica_exchange.h"
 #include "auburnspring/serving/serving_context.h"
 #include "auburnspring/serving/settings.h"
 #include "auburnspring/serving/store_follower.h"
@@ -61,13 +62,10 @@
   void onHeartbeat(const std::string &from, const HostHeartbeat &heartbeat);
   /// Tells some cut peers of a large fleet that this host may help.
   void answerCutPeer(const std::string &from, const HostHeartbeat &heartbeat);
-  void onReplicaRequest(const std::string &from, const ReplicaRequest &request);
-  void onReplicaReply(const ReplicaReply &reply);
   void onVersionUpdate(const std::string &from,
                        const StoreVersionUpdate &update);
   void onPeerStoreVersion(const std::string &from, const StoreVersion &version,
                           Duration age);
-  void requestMissingChanges();
   void requestNewerConfiguration(const std::string &from,
                                  const HostHeartbeat &heartbeat);
   void sendVersionUpdates();
@@ -113,6 +111,7 @@
   asio::steady_timer tickTimer_;
   std::unordered_map<ActiveRequest *, std::shared_ptr<ActiveRequest>> requests_;
   StoreWatcherSelector watcherSelector_;
+  ReplicaExchange replicaExchange_;
   std::uint64_t ticks_ = 0;
   /// When the replica was last known to be current, as of the latest tick: an
   /// item that it did not have then was written later.
--- a/src/auburnspring/peer/peer_mesh.cpp
+++ b/src/auburnspring/peer/peer_mesh.cpp
@@ -25,6 +25,8 @@
 constexpr std::size_t MaxQueuedMessages = 64;
 constexpr std::size_t MaxBufferedBytes = 8 << 20;
 constexpr long HandshakeTimeoutMillis = 2000;
+/// Least time between two log lines about dropped messages.
+constexpr std::chrono::seconds DropLogInterval(1);
 
 } // namespace
 
@@ -65,7 +67,10 @@
               const WsClient::connection_ptr &connection);
   void onClosed(const std::string &host,
                 const WsClient::connection_ptr &connection);
-  void write(OutboundConnection *outbound, const std::string &bytes);
+  void write(const std::string &host, OutboundConnection *outbound,
+             const std::string &bytes);
+  /// Counts and logs a message that isn't sent.
+  void drop(const std::string &host, std::size_t bytes, const char *reason);
   void onPayload(const std::string &bytes);
   bool isReplay(const PeerEnvelope &envelope);
 
@@ -77,12 +82,14 @@
   std::thread thread_;
   std::map<std::string, OutboundConnection> connections_;
   std::map<std::string, SenderState> senders_;
+  Clock::time_point dropLoggedAt_;
   std::atomic<std::uint64_t> lastSequence_{0};
   std::atomic<std::uint64_t> messagesSent_{0};
   std::atomic<std::uint64_t> bytesSent_{0};
   std::atomic<std::uint64_t> messagesReceived_{0};
   std::atomic<std::uint64_t> bytesReceived_{0};
   std::atomic<std::uint64_t> messagesRejected_{0};
+  std::atomic<std::uint64_t> messagesDropped_{0};
 };
 
 absl::Status PeerMesh::Impl::start() {
@@ -137,8 +144,9 @@
   io_.post([this, envelope = std::move(envelope), endpoint]() mutable {
     envelope.sequence = ++lastSequence_;
     const std::string bytes = encodeEnvelope(envelope, options_.peerKey);
-    if (bytes.size() <= MaxEnvelopeBytes)
-      sendOnIoThread(envelope.to, endpoint, bytes);
+    if (bytes.size() > MaxEnvelopeBytes)
+      return drop(envelope.to, bytes.size(), "too_large");
+    sendOnIoThread(envelope.to, endpoint, bytes);
   });
 }
 
@@ -158,9 +166,24 @@
     return;
   outbound->lastUsed = Clock::now();
   if (outbound->open)
-    return write(outbound, bytes);
-  if (outbound->queuedMessages.size() < MaxQueuedMessages)
-    outbound->queuedMessages.push_back(bytes);
+    return write(host, outbound, bytes);
+  if (outbound->queuedMessages.size() >= MaxQueuedMessages)
+    return drop(host, bytes.size(), "not_connected");
+  outbound->queuedMessages.push_back(bytes);
+}
+
+void PeerMesh::Impl::drop(const std::string &host, std::size_t bytes,
+                          const char *reason) {
+  ++messagesDropped_;
+  const Clock::time_point now = Clock::now();
+  if (now < dropLoggedAt_ + DropLogInterval)
+    return;
+  dropLoggedAt_ = now;
+  logEvent(LogLevel::Warning, "peer_message_dropped",
+           {{"peer", host},
+            {"reason", reason},
+            {"bytes", static_cast<unsigned long>(bytes)},
+            {"dropped", static_cast<unsigned long>(messagesDropped_)}});
 }
 
 PeerMesh::Impl::OutboundConnection *
@@ -236,7 +259,7 @@
   std::vector<std::string> queuedMessages =
       std::move(found->second.queuedMessages);
   for (const std::string &bytes : queuedMessages)
-    write(&found->second, bytes);
+    write(host, &found->second, bytes);
 }
 
 void PeerMesh::Impl::onClosed(const std::string &host,
@@ -256,10 +279,11 @@
   });
 }
 
-void PeerMesh::Impl::write(OutboundConnection *outbound,
+void PeerMesh::Impl::write(const std::string &host,
+                           OutboundConnection *outbound,
                            const std::string &bytes) {
   if (outbound->connection->get_buffered_amount() > MaxBufferedBytes)
-    return;
+    return drop(host, bytes.size(), "backlog");
   const websocketpp::lib::error_code error =
       outbound->connection->send(bytes, websocketpp::frame::opcode::binary);
   if (error)
@@ -301,8 +325,8 @@
 }
 
 PeerMesh::Counters PeerMesh::Impl::counters() const {
-  return {messagesSent_, bytesSent_, messagesReceived_, bytesReceived_,
-          messagesRejected_};
+  return {messagesSent_,  bytesSent_,        messagesReceived_,
+          bytesReceived_, messagesRejected_, messagesDropped_};
 }
 
 PeerMesh::PeerMesh(Options options, Receive receive)
--- a/src/auburnspring/serving/serving_host.cpp
+++ b/src/auburnspring/serving/serving_host.cpp
@@ -119,7 +119,8 @@
                      }),
       tickTimer_(io),
       watcherSelector_(settings_.host,
-                       {settings_.dataCentre, settings_.processorShare}) {
+                       {settings_.dataCentre, settings_.processorShare}),
+      replicaExchange_(&peers_, &follower_, &watcherSelector_) {
   context_.io = &io;
   context_.dialect = dialect;
   context_.pieceDispatcher = &pieceDispatcher_;
@@ -349,9 +350,10 @@
   if (const auto *cancel = std::get_if<JobCancel>(&message))
     return pieceDispatcher_.onJobCancel(from, *cancel);
   if (const auto *request = std::get_if<ReplicaRequest>(&message))
-    return onReplicaRequest(from, *request);
+    return replicaExchange_.onRequest(
+        from, *request, context_.registry.isStoreStable(steadyNow()));
   if (const auto *reply = std::get_if<ReplicaReply>(&message))
-    return onReplicaReply(*reply);
+    return replicaExchange_.onReply(from, *reply);
   if (const auto *update = std::get_if<StoreVersionUpdate>(&message))
     return onVersionUpdate(from, *update);
   if (const auto *update = std::get_if<StreamOriginsUpdate>(&message))
@@ -432,13 +434,7 @@
   follower_.onPeerVersion(version, age);
   watcherSelector_.onVersion(from, version, follower_.replica().version(),
                              steadyNow());
-  requestMissingChanges();
-}
-
-void ServingHost::requestMissingChanges() {
-  const StoreVersion own = follower_.replica().version();
-  if (const auto host = watcherSelector_.fetchSource(own, steadyNow()))
-    peers_.send(*host, ReplicaRequest{own});
+  replicaExchange_.fetchMissingChanges();
 }
 
 void ServingHost::requestNewerConfiguration(const std::string &from,
@@ -462,24 +458,6 @@
                                          follower_.versionAge()});
 }
 
-void ServingHost::onReplicaReply(const ReplicaReply &reply) {
-  follower_.applyFromPeer(reply.isSnapshot, reply.removalsAreConfirmed,
-                          reply.version, reply.changes);
-}
-
-void ServingHost::onReplicaRequest(const std::string &from,
-                                   const ReplicaRequest &request) {
-  ReplicaReply reply;
-  const StoreReplica &replica = follower_.replica();
-  reply.version = replica.version();
-  reply.removalsAreConfirmed = context_.registry.isStoreStable(steadyNow());
-  if (!replica.changesAfter(request.version, &reply.changes)) {
-    reply.isSnapshot = true;
-    reply.changes = replica.snapshot();
-  }
-  peers_.send(from, std::move(reply));
-}
-
 HostHeartbeat ServingHost::takeHeartbeat() {
   HostHeartbeat heartbeat;
   heartbeat.origins = streamOrigins_.takeForHeartbeat();
@@ -631,6 +609,16 @@
               static_cast<double>(pieces.resubmitted));
   const PeerMesh::Counters mesh = peers_.counters();
   metrics.set("peer_bytes_sent", static_cast<double>(mesh.bytesSent));
+  metrics.set("peer_messages_dropped",
+              static_cast<double>(mesh.messagesDropped));
+  const ReplicaExchange::Counters &replicas = replicaExchange_.counters();
+  metrics.set("replica_fetches", static_cast<double>(replicas.fetches));
+  metrics.set("replica_replies", static_cast<double>(replicas.replies));
+  metrics.set("replica_bytes_sent", static_cast<double>(replicas.bytesSent));
+  metrics.set("replica_bytes_received",
+              static_cast<double>(replicas.bytesReceived));
+  metrics.set("replica_replies_outdated",
+              static_cast<double>(replicas.outdatedReplies));
   http::ResponseHead head{200, {}};
   head.headers.add("Content-Type", "text/plain; version=0.0.4");
   exchange->respond(std::move(head), metrics.text());
@@ -666,7 +654,7 @@
   follower_.setWatching(watcherSelector_.mustWatch(now));
   if (follower_.isWatching())
     follower_.confirmIfStale(watcherSelector_.rank());
-  requestMissingChanges();
+  replicaExchange_.fetchMissingChanges();
   replicaConfirmedAt_ = now - follower_.versionAge();
   for (const std::string &dataCentre :
        context_.registry.endHeldEvacuations(now))
