Replies between replicas hold each item once

Revisions of replaced writes go along, by which a store that was restored from a copy is recognized. Earlier releases ignore that field and send every write themselves.

Evidence: two of the three new tests fail on the code before (6 changes instead of 2, 4 instead of 3); the third guards what the change could have lost. The property test of replicas passes.

--- a/include/auburnspring/decision/store_item.h
+++ b/include/auburnspring/decision/store_item.h
@@ -17,6 +17,9 @@
   /// The store was restored from a copy that has this write; it may have been
   /// followed by others that the copy lacks.
   bool isFromCopy = false;
+  /// Revisions of earlier writes of the item that this change replaces and its
+  /// receiver may not have seen.
+  std::vector<std::int64_t> replacedWrites = {};
 };
 
 /// Changes that were new to a replica.
--- a/include/auburnspring/decision/store_replica.h
+++ b/include/auburnspring/decision/store_replica.h
@@ -5,9 +5,9 @@
 #include "auburnspring/decision/store_version.h"
 
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace auburnspring {
@@ -18,7 +18,9 @@
 /// whatever order changes arrive; what an older era returns is ignored.
 class StoreReplica {
 public:
-  /// Changes that are kept so that peers can catch up.
+  /// Changes that are kept so that peers can catch up. A write is kept until
+  /// the next write of its item, so that many changes of one item take no more
+  /// memory than the item; a removal is kept with the write before it.
   static constexpr std::size_t MaxJournalSize = 4000;
   /// Writes of an item that are remembered, to recognize them in a copy.
   static constexpr std::size_t MaxItemWrites = 16;
@@ -34,8 +36,9 @@
   StoreUpdate replace(const std::vector<StoreChange> &items,
                       const StoreVersion &version);
 
-  /// Appends all changes after `version` to `out`; false if the journal does
-  /// not reach back that far.
+  /// Appends the changes after `version` to `out`, in the order of their
+  /// revisions and without writes that others have replaced; false if the
+  /// journal does not reach back that far.
   bool changesAfter(const StoreVersion &version,
                     std::vector<StoreChange> *out) const;
 
@@ -58,13 +61,26 @@
 
     void set(const StoreChange &change);
     bool hasWrite(std::int64_t revision) const;
+    std::vector<std::int64_t> writesBetween(std::int64_t after,
+                                            std::int64_t before) const;
   };
   using Items = std::map<std::string, Item>;
 
+  /// One transaction may write several items at the same revision.
+  using JournalKey = std::pair<std::int64_t, std::string>;
+  struct JournalEntry {
+    bool removed = false;
+    /// What a removed item held; empty while the item holds it.
+    std::string removedValue;
+  };
+
   /// True if the item is known to have been removed since: the replica is
   /// complete up to a later revision and has neither the item nor a tombstone.
   bool isOutdated(const StoreChange &change) const;
   bool applyChange(const StoreChange &change);
+  /// Notes a change before it is applied to its item.
+  void addToJournal(const StoreChange &change, Item *before);
+  void clearJournal(std::int64_t revision);
   /// Newest revision that the copy the store was restored from has for certain,
   /// given a read after the restore and the items before it.
   static std::int64_t copiedRevision(const std::vector<StoreChange> &items,
@@ -74,8 +90,8 @@
   void pruneTombstones();
 
   Items items_;
-  std::deque<StoreChange> journal_;
-  /// The journal holds every change after this revision.
+  std::map<JournalKey, JournalEntry> journal_;
+  /// The journal lacks no change after this revision but replaced writes.
   std::int64_t journalFrom_ = 0;
   StoreVersion version_;
 };
--- a/src/auburnspring/decision/store_replica.cpp
+++ b/src/auburnspring/decision/store_replica.cpp
@@ -9,30 +9,59 @@
   revision = change.revision;
   value = change.removed ? std::string() : change.value;
   removed = change.removed;
-  if (removed)
-    return;
-  if (writes.size() == MaxItemWrites)
-    writes.erase(writes.begin());
-  writes.push_back(revision);
+  writes.insert(writes.end(), change.replacedWrites.begin(),
+                change.replacedWrites.end());
+  if (!removed)
+    writes.push_back(revision);
+  std::sort(writes.begin(), writes.end());
+  writes.erase(std::unique(writes.begin(), writes.end()), writes.end());
+  if (writes.size() > MaxItemWrites)
+    writes.erase(writes.begin(),
+                 writes.end() - static_cast<std::ptrdiff_t>(MaxItemWrites));
 }
 
 bool StoreReplica::Item::hasWrite(std::int64_t writeRevision) const {
-  return std::find(writes.begin(), writes.end(), writeRevision) != writes.end();
+  return std::binary_search(writes.begin(), writes.end(), writeRevision);
+}
+
+std::vector<std::int64_t>
+StoreReplica::Item::writesBetween(std::int64_t after,
+                                  std::int64_t before) const {
+  return {std::upper_bound(writes.begin(), writes.end(), after),
+          std::lower_bound(writes.begin(), writes.end(), before)};
 }
 
 bool StoreReplica::applyChange(const StoreChange &change) {
   Item &item = items_[change.key];
   if (change.revision <= item.revision)
     return false;
+  addToJournal(change, &item);
   item.set(change);
-  journal_.push_back(change);
-  if (journal_.size() > MaxJournalSize) {
-    journalFrom_ = std::max(journalFrom_, journal_.front().revision);
-    journal_.pop_front();
-  }
   return true;
 }
 
+void StoreReplica::addToJournal(const StoreChange &change, Item *before) {
+  const auto last = before->removed
+                        ? journal_.end()
+                        : journal_.find({before->revision, change.key});
+  if (last != journal_.end()) {
+    if (change.removed)
+      last->second.removedValue = std::move(before->value);
+    else
+      journal_.erase(last);
+  }
+  journal_[{change.revision, change.key}].removed = change.removed;
+  if (journal_.size() <= MaxJournalSize)
+    return;
+  journalFrom_ = std::max(journalFrom_, journal_.begin()->first.first);
+  journal_.erase(journal_.begin());
+}
+
+void StoreReplica::clearJournal(std::int64_t revision) {
+  journal_.clear();
+  journalFrom_ = revision;
+}
+
 bool StoreReplica::isOutdated(const StoreChange &change) const {
   return change.revision <= version_.revision &&
          items_.find(change.key) == items_.end();
@@ -73,10 +102,8 @@
     if ((isNewer || !isOutdated(change)) && applyChange(change))
       update.changes.push_back(change);
   // The journal lacks the changes between the two revisions.
-  if (version_ < version) {
-    journal_.clear();
-    journalFrom_ = version.revision;
-  }
+  if (version_ < version)
+    clearJournal(version.revision);
   version_ = std::max(version_, version);
   return update;
 }
@@ -113,8 +140,7 @@
     if (!item.removed && items_.count(key) == 0)
       update.changes.push_back({key, "", version.revision, true, true});
   // Revisions of the two eras can't be compared.
-  journal_.clear();
-  journalFrom_ = version.revision;
+  clearJournal(version.revision);
   version_ = version;
   return update;
 }
@@ -123,9 +149,18 @@
                                 std::vector<StoreChange> *out) const {
   if (version.era != version_.era || version.revision < journalFrom_)
     return false;
-  for (const StoreChange &change : journal_)
-    if (change.revision > version.revision)
-      out->push_back(change);
+  for (auto it = journal_.lower_bound({version.revision + 1, ""});
+       it != journal_.end(); ++it) {
+    const auto &[revision, key] = it->first;
+    const JournalEntry &entry = it->second;
+    const Item &item = items_.at(key);
+    StoreChange change{key, "", revision, entry.removed};
+    if (!entry.removed)
+      change.value =
+          item.revision == revision ? item.value : entry.removedValue;
+    change.replacedWrites = item.writesBetween(version.revision, revision);
+    out->push_back(std::move(change));
+  }
   return true;
 }
 
--- a/src/auburnspring/decision/store_replica_test.cpp
+++ b/src/auburnspring/decision/store_replica_test.cpp
@@ -145,6 +145,59 @@
   CHECK_FALSE(replica.changesAfter({0, 4}, &changes));
 }
 
+// Guards against replies that hold a large item once for each of its writes,
+// under which hosts on slow links stay stale (CONFIG).
+TEST_CASE("replica: a peer gets the last of several writes of an item") {
+  StoreReplica replica;
+  replica.replace({{"a", "1", 3, false}, {"b", "1", 4, false}}, {0, 5});
+  for (std::int64_t revision = 6; revision <= 12; ++revision)
+    replica.apply({{"a", std::to_string(revision), revision, false}},
+                  {0, revision});
+  replica.apply({{"b", "2", 13, false}}, {0, 13});
+  std::vector<StoreChange> changes;
+  REQUIRE(replica.changesAfter({0, 7}, &changes));
+  REQUIRE(changes.size() == 2);
+  CHECK(changes[0].key == "a");
+  CHECK(changes[0].value == "12");
+  CHECK(changes[0].revision == 12);
+  CHECK(changes[0].replacedWrites == std::vector<std::int64_t>{8, 9, 10, 11});
+  CHECK(changes[1].key == "b");
+  CHECK(changes[1].replacedWrites.empty());
+}
+
+TEST_CASE("replica: a peer gets a removal with the write before it") {
+  // An upstream may say that it leaves before its entry is removed.
+  StoreReplica replica;
+  replica.replace({{"a", "ready", 3, false}}, {0, 5});
+  replica.apply({{"a", "busy", 6, false}, {"a", "leaving", 7, false}}, {0, 7});
+  replica.apply({{"a", "", 8, true}}, {0, 8});
+  replica.apply({{"a", "ready", 9, false}}, {0, 9});
+  std::vector<StoreChange> changes;
+  REQUIRE(replica.changesAfter({0, 5}, &changes));
+  REQUIRE(changes.size() == 3);
+  CHECK(changes[0].value == "leaving");
+  CHECK(changes[0].revision == 7);
+  CHECK(changes[1].removed);
+  CHECK(changes[1].revision == 8);
+  CHECK(changes[2].value == "ready");
+  CHECK(changes[2].revision == 9);
+}
+
+TEST_CASE("replica: a write that others have replaced before a peer saw it is "
+          "recognized in a copy") {
+  StoreReplica watcher;
+  watcher.replace({{"a", "1", 3, false}}, {1, 5});
+  watcher.apply({{"a", "2", 6, false}, {"a", "leaving", 7, false}}, {1, 7});
+  StoreReplica peer;
+  peer.replace({{"a", "1", 3, false}}, {1, 5});
+  std::vector<StoreChange> changes;
+  REQUIRE(watcher.changesAfter({1, 5}, &changes));
+  peer.apply(changes, {1, 7});
+  const StoreUpdate update = peer.replace({{"a", "2", 6, false}}, {2, 6});
+  REQUIRE(update.changes.size() == 1);
+  CHECK(update.changes[0].isFromCopy);
+}
+
 TEST_CASE(
     "replica: the final content does not depend on the order of changes") {
   rc::check([](const std::vector<std::uint8_t> &order) {
--- a/src/auburnspring/wire/peer_codec.cpp
+++ b/src/auburnspring/wire/peer_codec.cpp
@@ -358,7 +358,7 @@
     changes.push_back(
         {change.key,
          nlohmann::json::binary({change.value.begin(), change.value.end()}),
-         change.revision, change.removed});
+         change.revision, change.removed, change.replacedWrites});
   return withVersion({{"whole", reply.isSnapshot},
                       {"steady", reply.removalsAreConfirmed},
                       {"changes", std::move(changes)}},
@@ -376,6 +376,10 @@
                              std::string(value.begin(), value.end()),
                              fields.at(2).get<std::int64_t>(),
                              fields.at(3).get<bool>()});
+    // Hosts of earlier releases send every write itself.
+    if (fields.size() > 4)
+      reply.changes.back().replacedWrites =
+          fields.at(4).get<std::vector<std::int64_t>>();
   }
   return reply;
 }
--- a/src/auburnspring/wire/peer_codec_test.cpp
+++ b/src/auburnspring/wire/peer_codec_test.cpp
@@ -171,11 +171,16 @@
   CHECK(heartbeat.isLeaving);
   CHECK(heartbeat.loads.at(0).reservedTokens == 3);
   const ReplicaReply replica = roundTrip(ReplicaReply{
-      true, true, {1, 12}, {{"k", std::string("\0\xff", 2), 11, false}}});
+      true,
+      true,
+      {1, 12},
+      {{"k", std::string("\0\xff", 2), 11, false, false, {9, 10}}}});
   CHECK(replica.isSnapshot);
   CHECK(replica.removalsAreConfirmed);
   CHECK(replica.version == StoreVersion{1, 12});
   CHECK(replica.changes.at(0).value == std::string("\0\xff", 2));
+  CHECK(replica.changes.at(0).replacedWrites ==
+        std::vector<std::int64_t>{9, 10});
   CHECK(roundTrip(ReplicaRequest{{1, 4}}).version == StoreVersion{1, 4});
   CHECK(roundTrip(OperatorConfigurationReply{std::string("\0{", 2)}).value ==
         std::string("\0{", 2));
