A host has one fetch of missing changes in progress at a time

Over a link of 10 Mbit/s, where one version takes half a second, the replies piled up, each as large as all that was missing when it was sent.

Change: a fetch ends with its reply, with the connection or after one second (twice that after each failure), and only then another begins, at another peer if it failed. Peers that watch are asked first: a request to a host that fetches itself waits behind the replies on its link. A host whose fetches fail twice in a row watches the store itself until it has caught up.

The test "a host that does not watch fetches at once, next from another peer" expected a second request 150 ms after the first, which is the fault. It is replaced by tests of the same promises, without that: at once, again as soon as a reply has come, and from another peer after a time-out, a lost connection or a reply without news.

--- a/include/auburnspring/decision/store_watcher_selector.h
+++ b/include/auburnspring/decision/store_watcher_selector.h
@@ -2,6 +2,7 @@
 #define AUBURNSPRING_DECISION_STORE_WATCHER_SELECTOR_H
 
 #include "auburnspring/base/time.h"
+#include "auburnspring/decision/peer_fetch.h"
 #include "auburnspring/decision/store_version.h"
 
 #include <cstdint>
@@ -39,9 +40,9 @@
   /// A host that watches fetches from a peer only if its own watch has not
   /// delivered the change within this time.
   static constexpr Duration OwnWatchGrace = std::chrono::milliseconds(300);
-  /// Least time between two fetches, so also the retry interval of one that
-  /// gets no response.
-  static constexpr Duration FetchRetryInterval = std::chrono::milliseconds(150);
+  /// After this many failures in a row the host watches the store itself until
+  /// it has caught up.
+  static constexpr int MaxFailedFetches = 2;
 
   /// Least time between two watches of a host, by the size of the fleet: a
   /// burst of changes costs few calls, and a change is noticed at most this
@@ -72,9 +73,18 @@
   std::size_t rank() const;
   /// Hosts to which this one sends updates while it watches.
   std::vector<std::string> updateRecipients() const;
-  /// The host to fetch missing changes from now, if any.
+  /// The host to fetch missing changes from now, if any. The fetch is in
+  /// progress from then on, and no other begins until it has ended.
   std::optional<std::string> fetchSource(const StoreVersion &own,
                                          TimePoint now);
+  /// Handles a reply; `isNews` if it brought the replica forward.
+  void onFetchReply(const std::string &from, bool isNews) {
+    fetch_.onReply(from, isNews);
+  }
+  /// Handles the loss of the connection to a peer.
+  void onConnectionLost(const std::string &host) {
+    fetch_.onConnectionLost(host);
+  }
 
 private:
   struct Peer {
@@ -83,18 +93,21 @@
     TimePoint lastUpdateAt;
   };
 
+  /// The host to fetch the newest version from: not the one of the latest
+  /// failure, one that watches, the latest to report.
+  const std::string &chooseSource(TimePoint now) const;
   double scoreOf(const std::string &name, const Host &host) const;
 
   std::string self_;
   Host host_;
   double score_ = 0;
   std::map<std::string, Peer> peers_;
-  /// Newest version that a peer has reported, the last peer to report it, and
-  /// since when this host has been behind.
+  /// Newest version that a peer has reported, the peers that have reported it,
+  /// the latest last, and since when this host has been behind.
   StoreVersion newestVersion_;
-  std::string newestVersionHost_;
+  std::vector<std::string> newestVersionHosts_;
   TimePoint behindSince_;
-  TimePoint lastFetchAt_;
+  PeerFetch fetch_;
 };
 
 } // namespace auburnspring
--- a/include/auburnspring/serving/replica_exchange.h
+++ b/include/auburnspring/serving/replica_exchange.h
@@ -34,6 +34,7 @@
   void onRequest(const std::string &from, const ReplicaRequest &request,
                  bool removalsAreConfirmed);
   void onReply(const std::string &from, const ReplicaReply &reply);
+  void onPeerDisconnected(const std::string &host);
 
   const Counters &counters() const { return counters_; }
 
--- a/src/auburnspring/decision/store_watcher_selector.cpp
+++ b/src/auburnspring/decision/store_watcher_selector.cpp
@@ -59,8 +59,12 @@
     return;
   if (newestVersion_ <= own)
     behindSince_ = now;
+  if (newestVersion_ < version)
+    newestVersionHosts_.clear();
   newestVersion_ = version;
-  newestVersionHost_ = from;
+  std::vector<std::string> &hosts = newestVersionHosts_;
+  hosts.erase(std::remove(hosts.begin(), hosts.end(), from), hosts.end());
+  hosts.push_back(from);
 }
 
 std::size_t StoreWatcherSelector::rank() const {
@@ -74,7 +78,7 @@
 }
 
 bool StoreWatcherSelector::mustWatch(TimePoint now) const {
-  if (peers_.size() < SmallFleet)
+  if (peers_.size() < SmallFleet || fetch_.failures() >= MaxFailedFetches)
     return true;
   const std::size_t ownRank = rank();
   if (ownRank < WatchersPerDataCentre)
@@ -103,13 +107,32 @@
 
 std::optional<std::string>
 StoreWatcherSelector::fetchSource(const StoreVersion &own, TimePoint now) {
-  if (newestVersion_ <= own)
+  if (newestVersion_ <= own) {
+    fetch_.reset();
     return std::nullopt;
+  }
+  const bool mayBegin = fetch_.mayBegin(now);
   const Duration grace = mustWatch(now) ? OwnWatchGrace : Duration(0);
-  if (now < behindSince_ + grace || now < lastFetchAt_ + FetchRetryInterval)
+  if (!mayBegin || now < behindSince_ + grace)
     return std::nullopt;
-  lastFetchAt_ = now;
-  return newestVersionHost_;
+  const std::string host = chooseSource(now);
+  fetch_.begin(host, now);
+  return host;
+}
+
+const std::string &StoreWatcherSelector::chooseSource(TimePoint now) const {
+  const auto preference = [&](const std::string &host) {
+    const auto peer = peers_.find(host);
+    // The links of hosts that watch don't carry replies of others.
+    const bool watches = peer != peers_.end() &&
+                         now < peer->second.lastUpdateAt + WatcherTimeout;
+    return (host == fetch_.failedHost() ? 0 : 2) + (watches ? 1 : 0);
+  };
+  return *std::max_element(newestVersionHosts_.rbegin(),
+                           newestVersionHosts_.rend(),
+                           [&](const std::string &a, const std::string &b) {
+                             return preference(a) < preference(b);
+                           });
 }
 
 } // namespace auburnspring
--- a/src/auburnspring/decision/store_watcher_selector_test.cpp
+++ b/src/auburnspring/decision/store_watcher_selector_test.cpp
@@ -132,21 +132,84 @@
   selector.onVersion("ahead", {0, 20}, {0, 10}, at(300));
   CHECK(selector.fetchSource({0, 10}, at(300)) == std::string("ahead"));
   CHECK_FALSE(selector.fetchSource({0, 10}, at(400)));
-  CHECK(selector.fetchSource({0, 10}, at(450)) == std::string("ahead"));
+  selector.onFetchReply("ahead", true);
+  CHECK_FALSE(selector.fetchSource({0, 15}, at(400)));
+  CHECK(selector.fetchSource({0, 15}, at(450)) == std::string("ahead"));
   CHECK_FALSE(selector.fetchSource({0, 20}, at(700)));
 }
 
-TEST_CASE(
-    "a host that does not watch fetches at once, next from another peer") {
-  Fleet fleet(80);
-  fleet.sendUpdates(at(0));
-  const std::vector<std::string> watchers = fleet.watchers(at(10));
-  for (auto &entry : fleet.selectors) {
-    if (entry.second.mustWatch(at(10)))
-      continue;
-    entry.second.onVersion(watchers[0], {0, 7}, {0, 5}, at(10));
-    CHECK(entry.second.fetchSource({0, 5}, at(10)) == watchers[0]);
-    entry.second.onVersion(watchers[1], {0, 7}, {0, 5}, at(12));
-    CHECK(entry.second.fetchSource({0, 5}, at(160)) == watchers[1]);
+namespace {
+
+constexpr std::int64_t TimeoutMillis =
+    PeerFetch::Timeout / std::chrono::milliseconds(1);
+
+/// A host of a large fleet that does not watch, whose peers "a" and "b" have
+/// reported a newer version, and that has begun to fetch it from "b" at 10 ms.
+StoreWatcherSelector makeFetchingHost() {
+  StoreWatcherSelector host("h", {"a", 0.001});
+  for (int i = 0; i < 40; ++i) {
+    host.setHost("w" + std::to_string(i), {"a", 1});
+    host.onWatcherUpdate("w" + std::to_string(i), at(0));
+  }
+  host.onVersion("a", {0, 7}, {0, 5}, at(10));
+  host.onVersion("b", {0, 7}, {0, 5}, at(10));
+  REQUIRE_FALSE(host.mustWatch(at(10)));
+  REQUIRE(host.fetchSource({0, 5}, at(10)) == std::string("b"));
+  return host;
+}
+
+} // namespace
+
+// Guards against replies that pile up on a slow link: each would hold all that
+// is missing, and none would arrive before it is outdated (CONFIG).
+TEST_CASE("a host has one fetch in progress at a time") {
+  StoreWatcherSelector host = makeFetchingHost();
+  for (std::int64_t millis = 20; millis < 10 + TimeoutMillis; millis += 20) {
+    host.onVersion(millis % 40 == 0 ? "a" : "b", {0, 7 + millis}, {0, 5},
+                   at(millis));
+    CHECK_FALSE(host.fetchSource({0, 5}, at(millis)));
+  }
+}
+
+TEST_CASE("a host that does not watch fetches at once, and again as soon as a "
+          "reply has come and a newer version is known") {
+  StoreWatcherSelector host = makeFetchingHost();
+  host.onVersion("a", {0, 9}, {0, 5}, at(100));
+  host.onFetchReply("a", true);
+  CHECK_FALSE(host.fetchSource({0, 5}, at(400)));
+  host.onFetchReply("b", true);
+  CHECK(host.fetchSource({0, 7}, at(400)) == std::string("a"));
+}
+
+TEST_CASE("a fetch that fails is repeated at another peer") {
+  StoreWatcherSelector host = makeFetchingHost();
+  SECTION("for which there is no reply in time") {
+    host.onVersion("b", {0, 7}, {0, 5}, at(10 + TimeoutMillis));
+    CHECK_FALSE(host.fetchSource({0, 5}, at(9 + TimeoutMillis)));
+    CHECK(host.fetchSource({0, 5}, at(10 + TimeoutMillis)) == std::string("a"));
+  }
+  SECTION("whose connection is lost") {
+    host.onConnectionLost("a");
+    CHECK_FALSE(host.fetchSource({0, 5}, at(200)));
+    host.onConnectionLost("b");
+    CHECK(host.fetchSource({0, 5}, at(200)) == std::string("a"));
+  }
+  SECTION("whose reply brings nothing") {
+    host.onFetchReply("b", false);
+    CHECK(host.fetchSource({0, 5}, at(200)) == std::string("a"));
   }
 }
+
+TEST_CASE("a host whose fetches fail watches the store until it has caught "
+          "up") {
+  StoreWatcherSelector host = makeFetchingHost();
+  host.onFetchReply("b", false);
+  for (int i = 0; i < 40; ++i)
+    host.onWatcherUpdate("w" + std::to_string(i), at(400));
+  CHECK_FALSE(host.mustWatch(at(400)));
+  REQUIRE(host.fetchSource({0, 5}, at(400)));
+  host.onFetchReply("a", false);
+  CHECK(host.mustWatch(at(400)));
+  CHECK_FALSE(host.fetchSource({0, 7}, at(410)));
+  CHECK_FALSE(host.mustWatch(at(410)));
+}
--- a/src/auburnspring/serving/replica_exchange.cpp
+++ b/src/auburnspring/serving/replica_exchange.cpp
@@ -72,6 +72,14 @@
   logLargeReply("replica_reply_received", from, own, reply, bytes);
   follower_->applyFromPeer(reply.isSnapshot, reply.removalsAreConfirmed,
                            reply.version, reply.changes);
+  selector_->onFetchReply(from, own < follower_->replica().version());
+  // A newer version may have been reported since the reply was sent.
+  fetchMissingChanges();
+}
+
+void ReplicaExchange::onPeerDisconnected(const std::string &host) {
+  selector_->onConnectionLost(host);
+  fetchMissingChanges();
 }
 
 } // namespace auburnspring
--- a/src/auburnspring/serving/serving_host.cpp
+++ b/src/auburnspring/serving/serving_host.cpp
@@ -71,6 +71,7 @@
           },
           [this](const std::string &host) {
             pieceDispatcher_.onPeerDisconnected(host);
+            replicaExchange_.onPeerDisconnected(host);
           }),
       requestLimits_(io, &peers_, &context_.registry, &context_.metrics,
                      randomSeed()),
