Peers send large items as differences to what the receiver holds

With one fetch in progress at a time a host over a link of 10 Mbit/s still needs half a second for each, and the version updates of watchers and the requests of peers wait behind it.

Change: a request describes the large items that its sender holds by the digests of their parts (content-defined chunking, 4 KiB on average); the reply names those parts and holds only the bytes of others. The result is checked by its digest; one that does not match is fetched whole. The operator's configuration that peers exchange after a restore of the store goes the same way, one fetch at a time instead of one each 500 ms. Hosts of earlier releases neither describe what they hold nor are sent differences (test of the codec).

--- a/include/auburnspring/decision/peer_message.h
+++ b/include/auburnspring/decision/peer_message.h
@@ -4,6 +4,7 @@
 #include "auburnspring/config/configuration.h"
 #include "auburnspring/config/settings.h"
 #include "auburnspring/decision/batch_upstream_state.h"
+#include "auburnspring/decision/content_delta.h"
 #include "auburnspring/decision/helper_selection.h"
 #include "auburnspring/decision/part_crash.h"
 #include "auburnspring/decision/part_quarantine.h"
@@ -197,6 +198,8 @@
 /// Requests the changes that the sender's replica of the store lacks.
 struct ReplicaRequest {
   StoreVersion version;
+  /// Large items that the sender holds, to which the reply may refer.
+  std::vector<HeldContent> held;
 };
 
 struct ReplicaReply {
@@ -206,15 +209,22 @@
   bool removalsAreConfirmed = false;
   StoreVersion version;
   std::vector<StoreChange> changes;
+  /// Differences to what the receiver holds, in place of the values of some
+  /// changes.
+  std::vector<ContentDelta> deltas;
 };
 
 /// Requests the operator's configuration in force at the receiver. A store that
 /// was restored from a copy may hold an older one.
-struct OperatorConfigurationRequest {};
+struct OperatorConfigurationRequest {
+  /// The configuration in force at the sender.
+  std::optional<HeldContent> held;
+};
 
 struct OperatorConfigurationReply {
-  /// The configuration as the operator wrote it.
+  /// The configuration as the operator wrote it; empty if `delta` is set.
   std::string value;
+  std::optional<ContentDelta> delta;
 };
 
 /// Origins of streams that the sender has recorded, outside of heartbeats.
--- a/include/auburnspring/decision/store_replica.h
+++ b/include/auburnspring/decision/store_replica.h
@@ -42,6 +42,11 @@
   bool changesAfter(const StoreVersion &version,
                     std::vector<StoreChange> *out) const;
 
+  /// Keys of the existing items whose values have at least so many bytes.
+  std::vector<std::string> largeItems(std::size_t bytes) const;
+  /// Value of an existing item, or null.
+  const std::string *find(const std::string &key) const;
+
   /// All existing items, without tombstones.
   std::vector<StoreChange> snapshot() const;
 
--- a/include/auburnspring/serving/serving_host.h
+++ b/include/auburnspring/serving/serving_host.h
@@ -68,6 +68,12 @@
                           Duration age);
   void requestNewerConfiguration(const std::string &from,
                                  const HostHeartbeat &heartbeat);
+  void onConfigurationReply(const std::string &from,
+                            const OperatorConfigurationReply &reply);
+  /// Version of the configuration in force; 0 before the first.
+  std::int64_t configurationVersion() const {
+    return context_.table ? context_.table->version : 0;
+  }
   void sendVersionUpdates();
   /// The next heartbeat, with what has not been announced yet.
   HostHeartbeat takeHeartbeat();
@@ -119,7 +125,6 @@
   /// The configuration in force as the operator wrote it, for peers that found
   /// an older one in a store that was restored from a copy.
   std::string configurationText_;
-  TimePoint configurationRequestedAt_;
   bool stopping_ = false;
   bool idleConnectionsClosed_ = false;
   bool deregistered_ = false;
--- a/src/auburnspring/decision/store_replica.cpp
+++ b/src/auburnspring/decision/store_replica.cpp
@@ -164,6 +164,20 @@
   return true;
 }
 
+std::vector<std::string> StoreReplica::largeItems(std::size_t bytes) const {
+  std::vector<std::string> keys;
+  for (const auto &[key, item] : items_)
+    if (!item.removed && item.value.size() >= bytes)
+      keys.push_back(key);
+  return keys;
+}
+
+const std::string *StoreReplica::find(const std::string &key) const {
+  const auto found = items_.find(key);
+  return found == items_.end() || found->second.removed ? nullptr
+                                                        : &found->second.value;
+}
+
 std::vector<StoreChange> StoreReplica::snapshot() const {
   std::vector<StoreChange> items;
   for (const auto &[key, item] : items_)
--- a/src/auburnspring/serving/serving_host.cpp
+++ b/src/auburnspring/serving/serving_host.cpp
@@ -35,9 +35,6 @@
 constexpr Duration FinalResponseMargin = std::chrono::milliseconds(1000);
 /// The process exits at the latest this long before the stop timeout.
 constexpr Duration ExitMargin = std::chrono::milliseconds(400);
-/// Least time between two requests for a peer's configuration.
-constexpr Duration ConfigurationRequestInterval =
-    std::chrono::milliseconds(500);
 /// Age of the last confirmation up to which the replica counts as current.
 constexpr Duration MaxConfirmedAge = std::chrono::seconds(3);
 /// Retry-After of a request that a stopping host refuses.
@@ -379,10 +376,11 @@
     return partGuard_.onTrialRequest(from, *request);
   if (const auto *reply = std::get_if<PartTrialReply>(&message))
     return partGuard_.onTrialReply(*reply);
-  if (std::holds_alternative<OperatorConfigurationRequest>(message))
-    return peers_.send(from, OperatorConfigurationReply{configurationText_});
+  if (const auto *request = std::get_if<OperatorConfigurationRequest>(&message))
+    return replicaExchange_.onConfigurationRequest(from, *request,
+                                                   configurationText_);
   if (const auto *reply = std::get_if<OperatorConfigurationReply>(&message))
-    return applyConfiguration(reply->value, "peer");
+    return onConfigurationReply(from, *reply);
   if (const auto *probe = std::get_if<BatcherProbe>(&message);
       probe != nullptr && !probe->isReply)
     peers_.send(from, BatcherProbe{true});
@@ -441,14 +439,19 @@
 void ServingHost::requestNewerConfiguration(const std::string &from,
                                             const HostHeartbeat &heartbeat) {
   // A peer that is ahead in the store as well delivers it with other changes.
-  const std::int64_t own = context_.table ? context_.table->version : 0;
-  const TimePoint now = steadyNow();
-  if (heartbeat.configurationVersion <= own ||
-      follower_.replica().version() < heartbeat.storeVersion ||
-      now < configurationRequestedAt_ + ConfigurationRequestInterval)
-    return;
-  configurationRequestedAt_ = now;
-  peers_.send(from, OperatorConfigurationRequest{});
+  const std::int64_t own = configurationVersion();
+  if (heartbeat.configurationVersion > own &&
+      !(follower_.replica().version() < heartbeat.storeVersion))
+    replicaExchange_.fetchConfiguration(from, configurationText_);
+}
+
+void ServingHost::onConfigurationReply(
+    const std::string &from, const OperatorConfigurationReply &reply) {
+  const std::int64_t before = configurationVersion();
+  if (const auto text =
+          replicaExchange_.configurationIn(reply, configurationText_))
+    applyConfiguration(*text, "peer");
+  replicaExchange_.onConfigurationReply(from, before < configurationVersion());
 }
 
 void ServingHost::sendVersionUpdates() {
@@ -471,7 +474,7 @@
   heartbeat.storeVersionAge = follower_.versionAge();
   heartbeat.storeReachable = follower_.isReachable();
   heartbeat.isLeaving = stopping_;
-  heartbeat.configurationVersion = context_.table ? context_.table->version : 0;
+  heartbeat.configurationVersion = configurationVersion();
   const TimePoint now = steadyNow();
   for (UpstreamStatement &statement :
        context_.speeds.statements().takeForHeartbeat(now, &context_.random))
@@ -570,8 +573,7 @@
   metrics.set("store_reachable", follower_.isReachable() ? 1 : 0);
   metrics.set("store_calls", static_cast<double>(follower_.storeCalls()));
   metrics.set("configuration_version",
-              context_.table ? static_cast<double>(context_.table->version)
-                             : 0);
+              static_cast<double>(configurationVersion()));
   metrics.set("upstreams", static_cast<double>(context_.registry.size()));
   metrics.set("evacuations",
               static_cast<double>(context_.registry.evacuationCount()));
@@ -618,6 +620,8 @@
   metrics.set("replica_bytes_sent", static_cast<double>(replicas.bytesSent));
   metrics.set("replica_bytes_received",
               static_cast<double>(replicas.bytesReceived));
+  metrics.set("replica_deltas_failed",
+              static_cast<double>(replicas.failedDeltas));
   metrics.set("replica_replies_outdated",
               static_cast<double>(replicas.outdatedReplies));
   http::ResponseHead head{200, {}};
--- a/src/auburnspring/wire/peer_codec.cpp
+++ b/src/auburnspring/wire/peer_codec.cpp
@@ -1,5 +1,6 @@
 #include "auburnspring/wire/peer_codec.h"
 
+#include "content_delta_codec.h"
 #include "part_quarantine_codec.h"
 #include "peer_mac.h"
 #include "stream_origin_codec.h"
@@ -334,8 +335,19 @@
   return {{"answer", probe.isReply}};
 }
 
+// Hosts of earlier releases neither send nor read what a replica holds, and so
+// send and get whole values.
+
 nlohmann::json toJson(const ReplicaRequest &request) {
-  return withVersion(nlohmann::json::object(), request.version);
+  nlohmann::json fields = nlohmann::json::object();
+  for (const HeldContent &content : request.held)
+    fields["held"].push_back(toJson(content));
+  return withVersion(std::move(fields), request.version);
+}
+
+ReplicaRequest readReplicaRequest(const nlohmann::json &json) {
+  return {readStoreVersion(json),
+          readHeldContents(json.value("held", nlohmann::json::array()))};
 }
 
 nlohmann::json toJson(const StoreVersionUpdate &update) {
@@ -343,13 +355,28 @@
                      update.version);
 }
 
-nlohmann::json toJson(const OperatorConfigurationRequest &) {
-  return nlohmann::json::object();
+nlohmann::json toJson(const OperatorConfigurationRequest &request) {
+  nlohmann::json fields = nlohmann::json::object();
+  if (request.held)
+    fields["held"] = toJson(*request.held);
+  return fields;
+}
+
+OperatorConfigurationRequest
+readOperatorConfigurationRequest(const nlohmann::json &json) {
+  OperatorConfigurationRequest request;
+  if (json.contains("held"))
+    request.held = readHeldContent(json.at("held"));
+  return request;
 }
 
 nlohmann::json toJson(const OperatorConfigurationReply &reply) {
-  return {{"value",
-           nlohmann::json::binary({reply.value.begin(), reply.value.end()})}};
+  nlohmann::json fields = {
+      {"value",
+       nlohmann::json::binary({reply.value.begin(), reply.value.end()})}};
+  if (reply.delta)
+    fields["delta"] = toJson(*reply.delta);
+  return fields;
 }
 
 nlohmann::json toJson(const ReplicaReply &reply) {
@@ -359,9 +386,13 @@
         {change.key,
          nlohmann::json::binary({change.value.begin(), change.value.end()}),
          change.revision, change.removed, change.replacedWrites});
+  nlohmann::json deltas = nlohmann::json::array();
+  for (const ContentDelta &delta : reply.deltas)
+    deltas.push_back(toJson(delta));
   return withVersion({{"whole", reply.isSnapshot},
                       {"steady", reply.removalsAreConfirmed},
-                      {"changes", std::move(changes)}},
+                      {"changes", std::move(changes)},
+                      {"deltas", std::move(deltas)}},
                      reply.version);
 }
 
@@ -381,13 +412,19 @@
       reply.changes.back().replacedWrites =
           fields.at(4).get<std::vector<std::int64_t>>();
   }
+  for (const nlohmann::json &delta :
+       json.value("deltas", nlohmann::json::array()))
+    reply.deltas.push_back(readContentDelta(delta));
   return reply;
 }
 
 OperatorConfigurationReply
 readOperatorConfigurationReply(const nlohmann::json &json) {
   const auto &value = json.at("value").get_binary();
-  return {std::string(value.begin(), value.end())};
+  OperatorConfigurationReply reply{{value.begin(), value.end()}, std::nullopt};
+  if (json.contains("delta"))
+    reply.delta = readContentDelta(json.at("delta"));
+  return reply;
 }
 
 absl::StatusOr<PeerMessage> readMessage(std::size_t kind,
@@ -422,14 +459,14 @@
   case 11:
     return PeerMessage(BatcherProbe{json.at("answer").get<bool>()});
   case 12:
-    return PeerMessage(ReplicaRequest{readStoreVersion(json)});
+    return PeerMessage(readReplicaRequest(json));
   case 13:
     return PeerMessage(readReplicaReply(json));
   case 14:
     return PeerMessage(StoreVersionUpdate{
         readStoreVersion(json), Duration(json.value<std::int64_t>("age", 0))});
   case 15:
-    return PeerMessage(OperatorConfigurationRequest{});
+    return PeerMessage(readOperatorConfigurationRequest(json));
   case 16:
     return PeerMessage(readOperatorConfigurationReply(json));
   case 17:
--- a/src/auburnspring/wire/peer_codec_test.cpp
+++ b/src/auburnspring/wire/peer_codec_test.cpp
@@ -1,6 +1,9 @@
 #include "auburnspring/wire/peer_codec.h"
 
+#include "peer_mac.h"
+
 #include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
 #include <rapidcheck.h>
 
 using namespace auburnspring;
@@ -170,26 +173,96 @@
   CHECK(heartbeat.storeReachable);
   CHECK(heartbeat.isLeaving);
   CHECK(heartbeat.loads.at(0).reservedTokens == 3);
-  const ReplicaReply replica = roundTrip(ReplicaReply{
-      true,
-      true,
-      {1, 12},
-      {{"k", std::string("\0\xff", 2), 11, false, false, {9, 10}}}});
+  const ReplicaReply replica = roundTrip(
+      ReplicaReply{true,
+                   true,
+                   {1, 12},
+                   {{"k", std::string("\0\xff", 2), 11, false, false, {9, 10}}},
+                   {}});
   CHECK(replica.isSnapshot);
   CHECK(replica.removalsAreConfirmed);
   CHECK(replica.version == StoreVersion{1, 12});
   CHECK(replica.changes.at(0).value == std::string("\0\xff", 2));
   CHECK(replica.changes.at(0).replacedWrites ==
         std::vector<std::int64_t>{9, 10});
-  CHECK(roundTrip(ReplicaRequest{{1, 4}}).version == StoreVersion{1, 4});
-  CHECK(roundTrip(OperatorConfigurationReply{std::string("\0{", 2)}).value ==
-        std::string("\0{", 2));
-  roundTrip(OperatorConfigurationRequest{});
+  CHECK(roundTrip(ReplicaRequest{{1, 4}, {}}).version == StoreVersion{1, 4});
+  CHECK(
+      roundTrip(OperatorConfigurationReply{std::string("\0{", 2), {}}).value ==
+      std::string("\0{", 2));
+  CHECK_FALSE(roundTrip(OperatorConfigurationRequest{}).held);
   CHECK(roundTrip(ResultRelease{"p", {"x"}}).results.size() == 1);
   CHECK(roundTrip(JobCancel{"p", "r"}).requestId == "r");
   CHECK(roundTrip(BatcherProbe{true}).isReply);
 }
 
+TEST_CASE("differences to what a replica holds round-trip") {
+  const HeldContent held{"k", ~0ULL, {1, ~0ULL}};
+  const ContentDelta delta{
+      "k", 12, 3, ~0ULL, {{0, 0, std::string("\0\xff", 2)}, {1, 2, ""}}};
+  const auto checkDelta = [](const ContentDelta &decoded) {
+    CHECK(decoded.key == "k");
+    CHECK(decoded.revision == 12);
+    CHECK(decoded.base == 3);
+    CHECK(decoded.digest == ~0ULL);
+    REQUIRE(decoded.pieces.size() == 2);
+    CHECK(decoded.pieces[0].count == 0);
+    CHECK(decoded.pieces[0].bytes == std::string("\0\xff", 2));
+    CHECK(decoded.pieces[1].first == 1);
+    CHECK(decoded.pieces[1].count == 2);
+  };
+  const ReplicaRequest request = roundTrip(ReplicaRequest{{1, 4}, {held}});
+  REQUIRE(request.held.size() == 1);
+  CHECK(request.held[0].key == "k");
+  CHECK(request.held[0].digest == ~0ULL);
+  CHECK(request.held[0].parts == held.parts);
+  CHECK(roundTrip(OperatorConfigurationRequest{held}).held->parts ==
+        held.parts);
+  checkDelta(
+      roundTrip(ReplicaReply{false, false, {1, 4}, {}, {delta}}).deltas.at(0));
+  checkDelta(*roundTrip(OperatorConfigurationReply{"", delta}).delta);
+}
+
+namespace {
+
+/// The message as a host of the release before would have sent it, which knew
+/// neither differences nor replaced writes.
+template <typename Message> Message fromEarlierRelease(const Message &message) {
+  const std::string sent = encodeEnvelope({"a", "b", 1, 1, message}, Key);
+  nlohmann::json json =
+      nlohmann::json::from_cbor(sent.begin() + MacBytes, sent.end());
+  nlohmann::json &fields = json["body"];
+  fields.erase("held");
+  fields.erase("delta");
+  fields.erase("deltas");
+  if (fields.contains("changes"))
+    for (nlohmann::json &change : fields["changes"])
+      change.erase(4);
+  std::string body;
+  nlohmann::json::to_cbor(json, body);
+  const Mac mac = computeMac(body, Key);
+  const auto decoded =
+      decodeEnvelope(std::string(mac.begin(), mac.end()) + body, Key);
+  REQUIRE(decoded.ok());
+  return std::get<Message>(decoded->message);
+}
+
+} // namespace
+
+TEST_CASE("replica messages of an earlier release hold whole values") {
+  const HeldContent held{"k", 1, {2}};
+  const ContentDelta delta{"k", 12, 3, 4, {{1, 2, ""}}};
+  CHECK(fromEarlierRelease(ReplicaRequest{{1, 4}, {held}}).held.empty());
+  const ReplicaReply reply = fromEarlierRelease(ReplicaReply{
+      true, false, {1, 12}, {{"k", "value", 11, false, false, {9}}}, {delta}});
+  CHECK(reply.deltas.empty());
+  REQUIRE(reply.changes.size() == 1);
+  CHECK(reply.changes[0].value == "value");
+  CHECK(reply.changes[0].replacedWrites.empty());
+  CHECK_FALSE(fromEarlierRelease(OperatorConfigurationRequest{held}).held);
+  CHECK(fromEarlierRelease(OperatorConfigurationReply{"value", delta}).value ==
+        "value");
+}
+
 TEST_CASE("an envelope signed with another key is rejected") {
   const std::string bytes = encodeEnvelope(pingEnvelope(), "another key");
   CHECK(decodeEnvelope(bytes, Key).status().code() ==
