A stream's version is inferred only if the store confirms that it is the only one

Cause: a host that finds no record of a stream's origin infers it if the pool has shown one version for as long as a stream lasts. It took a replica that had been confirmed up to three seconds ago as current, and so did not count versions that had joined since; a frozen host takes an answer from before as a confirmation.

Change: the store is polled after the request has arrived, before the version is inferred. The upstream's entry is older than the stream, so older than the request. One poll serves all that wait. Without an answer nothing is inferred. A replica that is replaced as a whole starts the observation anew, since a version may have come and gone in the gap.

--- a/include/auburnspring/serving/active_request.h
+++ b/include/auburnspring/serving/active_request.h
@@ -78,13 +78,18 @@
   /// Finds out which software version began the stream that is resumed, then
   /// begins the stages or refuses the request.
   void findOrigin();
-  /// Begins the stages if the only version of the pool began the stream; false
-  /// if that is not known.
-  bool inferOrigin();
+  /// The version that began the stream if its pool has shown no other for as
+  /// long as a stream lasts, as far as this host knows.
+  std::optional<std::string> onlyVersion() const;
+  /// Begins the stages if the only version of the pool began the stream, which
+  /// the store has to confirm; calls `otherwise` if not.
+  void inferOrigin(void (ActiveRequest::*otherwise)());
   /// Looks for the origin in the store.
   void readOrigin();
   /// The time is set if the origin may still become known.
   void refuseUnknownOrigin(std::optional<Duration> retryAfter);
+  /// Refuses to resume a stream that the caller does not name.
+  void refuseUnnamedOrigin();
   void resumeAt(const StreamOrigin &origin, std::string_view source);
   /// Records that the stream begins at the upstream.
   void recordOrigin(const UpstreamState &upstream);
--- a/include/auburnspring/serving/serving_context.h
+++ b/include/auburnspring/serving/serving_context.h
@@ -13,6 +13,7 @@
 #include "auburnspring/serving/reach_exchange.h"
 #include "auburnspring/serving/request_limit_exchange.h"
 #include "auburnspring/serving/serving_metrics.h"
+#include "auburnspring/serving/store_follower.h"
 #include "auburnspring/serving/stream_origin_exchange.h"
 #include "auburnspring/serving/stream_origin_store.h"
 #include "auburnspring/serving/upstream_speed_exchange.h"
@@ -38,6 +39,7 @@
   PieceDispatcher *pieceDispatcher = nullptr;
   StreamOriginExchange *streamOrigins = nullptr;
   StreamOriginStore *originStore = nullptr;
+  StoreFollower *follower = nullptr;
   PartGuardExchange *partGuard = nullptr;
   RequestLimitExchange *requestLimits = nullptr;
   UpstreamSpeedExchange speeds{&registry};
--- a/include/auburnspring/serving/store_follower.h
+++ b/include/auburnspring/serving/store_follower.h
@@ -40,8 +40,14 @@
     /// The store has been restored from a copy. The update that the copy makes
     /// necessary follows.
     std::function<void()> onRestored;
+    /// The replica was replaced as a whole: changes in between that were undone
+    /// again are unknown.
+    std::function<void()> onHistoryGap;
   };
 
+  /// True if the replica has everything that the store had when it was asked.
+  using ConfirmHandler = std::function<void(bool isConfirmed)>;
+
   StoreFollower(asio::io_context &io, MetadataStore *store, Options options,
                 Events events);
 
@@ -63,6 +69,9 @@
   /// Asks the store whether the replica is current, if that was not confirmed
   /// for too long. `rank` is the number of hosts that are to ask before.
   void confirmIfStale(std::size_t rank);
+  /// Asks the store for everything that the replica lacks now, and applies it.
+  /// One call serves all who ask at the same time.
+  void confirm(ConfirmHandler handler);
 
   /// Sets whether this host watches the store or receives changes from peers.
   void setWatching(bool watching);
@@ -94,6 +103,8 @@
   /// Renews the lease at once, to find out whether the store can be reached.
   void checkReachable();
   StoreUpdate applyWatch(const StoreRead &read);
+  /// Calls the store for those who wait for a confirmation.
+  void startConfirmation();
   /// The items that are part of the replica.
   std::vector<StoreChange>
   replicated(const std::vector<StoreChange> &changes) const;
@@ -139,6 +150,11 @@
   bool lastWatchWasIgnored_ = false;
   bool leaving_ = false;
   std::int64_t failures_ = 0;
+  /// Those who wait for the next confirmation; one call is in progress at a
+  /// time, and those who asked after it was sent wait for another.
+  std::vector<ConfirmHandler> confirmations_;
+  bool confirming_ = false;
+  asio::steady_timer confirmTimer_;
   std::uint64_t storeCalls_ = 0;
   std::size_t hostCount_ = 1;
 };
--- a/src/auburnspring/serving/active_request_resume.cpp
+++ b/src/auburnspring/serving/active_request_resume.cpp
@@ -26,11 +26,8 @@
 
 void ActiveRequest::findOrigin() {
   const std::string &id = request_.resumedId;
-  if (id.empty()) {
-    if (!inferOrigin())
-      refuseUnknownOrigin(std::nullopt);
-    return;
-  }
+  if (id.empty())
+    return inferOrigin(&ActiveRequest::refuseUnnamedOrigin);
   if (const auto found = context_->streamOrigins->find(id))
     return resumeAt(found->origin, sourceName(found->source));
   context_->streamOrigins->query(
@@ -40,27 +37,41 @@
           return;
         if (origin)
           return self->resumeAt(*origin, "query");
-        if (!self->inferOrigin())
-          self->readOrigin();
+        self->inferOrigin(&ActiveRequest::readOrigin);
       });
 }
 
-bool ActiveRequest::inferOrigin() {
-  const TimePoint now = steadyNow();
+std::optional<std::string> ActiveRequest::onlyVersion() const {
   const Duration longestStream =
       std::max(route_->timeout, context_->longestTimeout[route_->name]);
   // Of several pools it is not known which one the stream began in.
-  const std::optional<std::string> version =
-      route_->pools.size() == 1
-          ? context_->versionHistory.onlyVersion(
-                poolName_, longestStream + ReplicaLag, now)
-          : std::nullopt;
-  if (version)
-    resumeAt({request_.resumedId, poolName_, *version, 0, Duration(0)},
-             "inferred");
-  return version.has_value();
+  return route_->pools.size() == 1
+             ? context_->versionHistory.onlyVersion(
+                   poolName_, longestStream + ReplicaLag, steadyNow())
+             : std::nullopt;
+}
+
+void ActiveRequest::inferOrigin(void (ActiveRequest::*otherwise)()) {
+  if (!onlyVersion())
+    return (this->*otherwise)();
+  // The stream may have begun at an upstream that joined after the replica was
+  // last confirmed. Its entry is older than this request.
+  context_->follower->confirm(
+      [weak = weak_from_this(), otherwise](bool isConfirmed) {
+        const auto self = weak.lock();
+        if (!self || self->done_)
+          return;
+        const auto version = isConfirmed ? self->onlyVersion() : std::nullopt;
+        if (!version)
+          return ((*self).*otherwise)();
+        self->resumeAt({self->request_.resumedId, self->poolName_, *version, 0,
+                        Duration(0)},
+                       "inferred");
+      });
 }
 
+void ActiveRequest::refuseUnnamedOrigin() { refuseUnknownOrigin(std::nullopt); }
+
 void ActiveRequest::readOrigin() {
   using Outcome = StreamOriginStore::Outcome;
   context_->originStore->find(
--- a/src/auburnspring/serving/serving_host.cpp
+++ b/src/auburnspring/serving/serving_host.cpp
@@ -98,6 +98,10 @@
                  [this] {
                    context_.registry.onStoreRestored(steadyNow());
                    originStore_.onStoreRestored();
+                 },
+                 // A version may have joined and left in the gap.
+                 [this] {
+                   context_.versionHistory.onConfirmed(false, steadyNow());
                  }}),
       callerServer_(io,
                     [this](std::shared_ptr<http::Exchange> exchange) {
@@ -124,6 +128,7 @@
   context_.pieceDispatcher = &pieceDispatcher_;
   context_.streamOrigins = &streamOrigins_;
   context_.originStore = &originStore_;
+  context_.follower = &follower_;
   context_.partGuard = &partGuard_;
   context_.reach = &reach_;
   context_.peerKey = settings_.peerKey;
--- a/src/auburnspring/serving/store_follower.cpp
+++ b/src/auburnspring/serving/store_follower.cpp
@@ -35,6 +35,8 @@
 /// If nothing has confirmed the replica for this long, the store was away, and
 /// entries that are missing now may have expired meanwhile.
 constexpr Duration MaxUnconfirmedTime = std::chrono::milliseconds(2500);
+/// Least time from one confirmation on demand to the next.
+constexpr Duration ConfirmInterval = std::chrono::milliseconds(20);
 constexpr Duration MinRetryDelay = std::chrono::milliseconds(150);
 constexpr Duration MaxRetryDelay = std::chrono::milliseconds(1200);
 
@@ -43,7 +45,8 @@
 StoreFollower::StoreFollower(asio::io_context &io, MetadataStore *store,
                              Options options, Events events)
     : store_(store), options_(std::move(options)), events_(std::move(events)),
-      readTimer_(io), renewTimer_(io), random_(options_.seed) {
+      readTimer_(io), renewTimer_(io), random_(options_.seed),
+      confirmTimer_(io) {
   store_->setEraHandler([this](std::int64_t era) { onEra(era, "store"); });
 }
 
@@ -155,6 +158,7 @@
     return scheduleRead(jittered(std::min(MaxRetryDelay, backoff)));
   }
   setReachable(true, "read");
+  events_.onHistoryGap();
   publish(replica_.replace(replicated(result->changes), result->version));
   freshness_.onConfirmed(steadyNow());
   if (watching_)
@@ -252,6 +256,36 @@
       });
 }
 
+void StoreFollower::confirm(ConfirmHandler handler) {
+  confirmations_.push_back(std::move(handler));
+  if (!confirming_)
+    startConfirmation();
+}
+
+void StoreFollower::startConfirmation() {
+  confirming_ = true;
+  ++storeCalls_;
+  store_->poll(AllKeysPrefix, watchedRevision(),
+               [this, waiting = std::exchange(confirmations_, {})](
+                   const absl::StatusOr<StoreRead> &result) {
+                 if (result.ok())
+                   publish(applyWatch(*result));
+                 const bool isConfirmed =
+                     result.ok() &&
+                     result->version.era == replica_.version().era;
+                 for (const ConfirmHandler &handler : waiting)
+                   handler(isConfirmed);
+                 confirmTimer_.expires_after(ConfirmInterval);
+                 confirmTimer_.async_wait([this](asio::error_code error) {
+                   if (error)
+                     return;
+                   confirming_ = false;
+                   if (!confirmations_.empty())
+                     startConfirmation();
+                 });
+               });
+}
+
 Duration StoreFollower::watchInterval() const {
   const Duration interval = StoreWatcherSelector::watchInterval(hostCount_);
   return steadyNow() < startedAt_ + StartPeriod || lastWatchWasIgnored_
@@ -374,6 +408,8 @@
                                   const std::vector<StoreChange> &changes) {
   if (version <= replica_.version())
     return;
+  if (isSnapshot)
+    events_.onHistoryGap();
   StoreUpdate update = isSnapshot ? replica_.replace(changes, version)
                                   : replica_.apply(changes, version);
   update.removalsAreConfirmed = removalsAreConfirmed;
