--- a/src/auburnspring/decision/content_delta.cpp
+++ b/src/auburnspring/decision/content_delta.cpp
@@ -36,11 +36,11 @@
 }
 
 std::size_t partSize(std::string_view rest) {
-  static const std::array<std::uint64_t, 256> Gears = makeGears();
+  static const std::array<std::uint64_t, 256> gears = makeGears();
   const std::size_t end = std::min(rest.size(), ContentSplitter::MaxPartBytes);
   std::uint64_t hash = 0;
   for (std::size_t i = 0; i < end; ++i) {
-    hash = (hash << 1U) + Gears[static_cast<unsigned char>(rest[i])];
+    hash = (hash << 1U) + gears[static_cast<unsigned char>(rest[i])];
     if (i + 1 >= ContentSplitter::MinPartBytes && (hash & EndMask) == 0)
       return i + 1;
   }
