--- a/src/auburnspring/serving/serving_host.cpp
+++ b/src/auburnspring/serving/serving_host.cpp
@@ -35,9 +35,6 @@
 constexpr Duration FinalResponseMargin = std::chrono::milliseconds(1000);
 /// The process exits at the latest this long before the stop timeout.
 constexpr Duration ExitMargin = std::chrono::milliseconds(400);
-/// Least time between two requests for a peer's configuration.
-constexpr Duration ConfigurationRequestInterval =
-    std::chrono::milliseconds(500);
 /// Age of the last confirmation up to which the replica counts as current.
 constexpr Duration MaxConfirmedAge = std::chrono::seconds(3);
 /// Retry-After of a request that a stopping host refuses.
@@ -71,6 +68,7 @@
           },
           [this](const std::string &host) {
             pieceDispatcher_.onPeerDisconnected(host);
+            replicaExchange_.onPeerDisconnected(host);
           }),
       requestLimits_(io, &peers_, &context_.registry, &context_.metrics,
                      randomSeed()),
@@ -100,6 +98,10 @@
                  [this] {
                    context_.registry.onStoreRestored(steadyNow());
                    originStore_.onStoreRestored();
+                 },
+                 // A version may have joined and left in the gap.
+                 [this] {
+                   context_.versionHistory.onConfirmed(false, steadyNow());
                  }}),
       callerServer_(io,
                     [this](std::shared_ptr<http::Exchange> exchange) {
@@ -119,12 +121,14 @@
                      }),
       tickTimer_(io),
       watcherSelector_(settings_.host,
-                       {settings_.dataCentre, settings_.processorShare}) {
+                       {settings_.dataCentre, settings_.processorShare}),
+      replicaExchange_(&peers_, &follower_, &watcherSelector_) {
   context_.io = &io;
   context_.dialect = dialect;
   context_.pieceDispatcher = &pieceDispatcher_;
   context_.streamOrigins = &streamOrigins_;
   context_.originStore = &originStore_;
+  context_.follower = &follower_;
   context_.partGuard = &partGuard_;
   context_.reach = &reach_;
   context_.peerKey = settings_.peerKey;
@@ -349,9 +353,10 @@
   if (const auto *cancel = std::get_if<JobCancel>(&message))
     return pieceDispatcher_.onJobCancel(from, *cancel);
   if (const auto *request = std::get_if<ReplicaRequest>(&message))
-    return onReplicaRequest(from, *request);
+    return replicaExchange_.onRequest(
+        from, *request, context_.registry.isStoreStable(steadyNow()));
   if (const auto *reply = std::get_if<ReplicaReply>(&message))
-    return onReplicaReply(*reply);
+    return replicaExchange_.onReply(from, *reply);
   if (const auto *update = std::get_if<StoreVersionUpdate>(&message))
     return onVersionUpdate(from, *update);
   if (const auto *update = std::get_if<StreamOriginsUpdate>(&message))
@@ -376,10 +381,11 @@
     return partGuard_.onTrialRequest(from, *request);
   if (const auto *reply = std::get_if<PartTrialReply>(&message))
     return partGuard_.onTrialReply(*reply);
-  if (std::holds_alternative<OperatorConfigurationRequest>(message))
-    return peers_.send(from, OperatorConfigurationReply{configurationText_});
+  if (const auto *request = std::get_if<OperatorConfigurationRequest>(&message))
+    return replicaExchange_.onConfigurationRequest(from, *request,
+                                                   configurationText_);
   if (const auto *reply = std::get_if<OperatorConfigurationReply>(&message))
-    return applyConfiguration(reply->value, "peer");
+    return onConfigurationReply(from, *reply);
   if (const auto *probe = std::get_if<BatcherProbe>(&message);
       probe != nullptr && !probe->isReply)
     peers_.send(from, BatcherProbe{true});
@@ -432,26 +438,25 @@
   follower_.onPeerVersion(version, age);
   watcherSelector_.onVersion(from, version, follower_.replica().version(),
                              steadyNow());
-  requestMissingChanges();
-}
-
-void ServingHost::requestMissingChanges() {
-  const StoreVersion own = follower_.replica().version();
-  if (const auto host = watcherSelector_.fetchSource(own, steadyNow()))
-    peers_.send(*host, ReplicaRequest{own});
+  replicaExchange_.fetchMissingChanges();
 }
 
 void ServingHost::requestNewerConfiguration(const std::string &from,
                                             const HostHeartbeat &heartbeat) {
   // A peer that is ahead in the store as well delivers it with other changes.
-  const std::int64_t own = context_.table ? context_.table->version : 0;
-  const TimePoint now = steadyNow();
-  if (heartbeat.configurationVersion <= own ||
-      follower_.replica().version() < heartbeat.storeVersion ||
-      now < configurationRequestedAt_ + ConfigurationRequestInterval)
-    return;
-  configurationRequestedAt_ = now;
-  peers_.send(from, OperatorConfigurationRequest{});
+  const std::int64_t own = configurationVersion();
+  if (heartbeat.configurationVersion > own &&
+      !(follower_.replica().version() < heartbeat.storeVersion))
+    replicaExchange_.fetchConfiguration(from, configurationText_);
+}
+
+void ServingHost::onConfigurationReply(
+    const std::string &from, const OperatorConfigurationReply &reply) {
+  const std::int64_t before = configurationVersion();
+  if (const auto text =
+          replicaExchange_.configurationIn(reply, configurationText_))
+    applyConfiguration(*text, "peer");
+  replicaExchange_.onConfigurationReply(from, before < configurationVersion());
 }
 
 void ServingHost::sendVersionUpdates() {
@@ -462,24 +467,6 @@
                                          follower_.versionAge()});
 }
 
-void ServingHost::onReplicaReply(const ReplicaReply &reply) {
-  follower_.applyFromPeer(reply.isSnapshot, reply.removalsAreConfirmed,
-                          reply.version, reply.changes);
-}
-
-void ServingHost::onReplicaRequest(const std::string &from,
-                                   const ReplicaRequest &request) {
-  ReplicaReply reply;
-  const StoreReplica &replica = follower_.replica();
-  reply.version = replica.version();
-  reply.removalsAreConfirmed = context_.registry.isStoreStable(steadyNow());
-  if (!replica.changesAfter(request.version, &reply.changes)) {
-    reply.isSnapshot = true;
-    reply.changes = replica.snapshot();
-  }
-  peers_.send(from, std::move(reply));
-}
-
 HostHeartbeat ServingHost::takeHeartbeat() {
   HostHeartbeat heartbeat;
   heartbeat.origins = streamOrigins_.takeForHeartbeat();
@@ -492,7 +479,7 @@
   heartbeat.storeVersionAge = follower_.versionAge();
   heartbeat.storeReachable = follower_.isReachable();
   heartbeat.isLeaving = stopping_;
-  heartbeat.configurationVersion = context_.table ? context_.table->version : 0;
+  heartbeat.configurationVersion = configurationVersion();
   const TimePoint now = steadyNow();
   for (UpstreamStatement &statement :
        context_.speeds.statements().takeForHeartbeat(now, &context_.random))
@@ -591,8 +578,7 @@
   metrics.set("store_reachable", follower_.isReachable() ? 1 : 0);
   metrics.set("store_calls", static_cast<double>(follower_.storeCalls()));
   metrics.set("configuration_version",
-              context_.table ? static_cast<double>(context_.table->version)
-                             : 0);
+              static_cast<double>(configurationVersion()));
   metrics.set("upstreams", static_cast<double>(context_.registry.size()));
   metrics.set("evacuations",
               static_cast<double>(context_.registry.evacuationCount()));
@@ -631,6 +617,18 @@
               static_cast<double>(pieces.resubmitted));
   const PeerMesh::Counters mesh = peers_.counters();
   metrics.set("peer_bytes_sent", static_cast<double>(mesh.bytesSent));
+  metrics.set("peer_messages_dropped",
+              static_cast<double>(mesh.messagesDropped));
+  const ReplicaExchange::Counters &replicas = replicaExchange_.counters();
+  metrics.set("replica_fetches", static_cast<double>(replicas.fetches));
+  metrics.set("replica_replies", static_cast<double>(replicas.replies));
+  metrics.set("replica_bytes_sent", static_cast<double>(replicas.bytesSent));
+  metrics.set("replica_bytes_received",
+              static_cast<double>(replicas.bytesReceived));
+  metrics.set("replica_deltas_failed",
+              static_cast<double>(replicas.failedDeltas));
+  metrics.set("replica_replies_outdated",
+              static_cast<double>(replicas.outdatedReplies));
   http::ResponseHead head{200, {}};
   head.headers.add("Content-Type", "text/plain; version=0.0.4");
   exchange->respond(std::move(head), metrics.text());
@@ -666,7 +664,7 @@
   follower_.setWatching(watcherSelector_.mustWatch(now));
   if (follower_.isWatching())
     follower_.confirmIfStale(watcherSelector_.rank());
-  requestMissingChanges();
+  replicaExchange_.fetchMissingChanges();
   replicaConfirmedAt_ = now - follower_.versionAge();
   for (const std::string &dataCentre :
        context_.registry.endHeldEvacuations(now))
