A large reply that others have overtaken is not dropped as a replay

Callers saw stale hosts (CONFIG): a host replaces its connection to a peer every ten seconds. Smaller messages on the new connection overtake a large reply on the old one, and the receiver dropped the reply as a replay, since its sequence number was lower than the last. Seen in platform_large_configuration_test: five of twelve hosts that one watcher had answered within 0.1 s never got the reply, ten to twelve seconds after the start.

Change: a receiver remembers which of the latest 8,192 numbers of each sender it has seen. Replies that hold the versions of what they bring may arrive late, but not twice; other messages are still dropped, since their order matters.

--- a/src/auburnspring/peer/peer_mesh.cpp
+++ b/src/auburnspring/peer/peer_mesh.cpp
@@ -1,6 +1,7 @@
 #include "auburnspring/peer/peer_mesh.h"
 
 #include "auburnspring/base/log.h"
+#include "auburnspring/peer/replay_window.h"
 
 #include <websocketpp/client.hpp>
 #include <websocketpp/config/asio_no_tls.hpp>
@@ -28,6 +29,13 @@
 /// Least time between two log lines about dropped messages.
 constexpr std::chrono::seconds DropLogInterval(1);
 
+/// Large replies carry the versions of what they hold, so that their order
+/// doesn't matter, and are the messages that others overtake.
+bool mayArriveLate(const PeerMessage &message) {
+  return std::holds_alternative<ReplicaReply>(message) ||
+         std::holds_alternative<OperatorConfigurationReply>(message);
+}
+
 } // namespace
 
 // All state belongs to the I/O thread; other threads post to it.
@@ -51,11 +59,6 @@
     std::vector<std::string> queuedMessages;
   };
 
-  struct SenderState {
-    std::uint64_t incarnation = 0;
-    std::uint64_t sequence = 0;
-  };
-
   void sendOnIoThread(const std::string &host, const Endpoint &endpoint,
                       const std::string &bytes);
   OutboundConnection *openConnection(const std::string &host,
@@ -81,7 +84,7 @@
   WsClient client_;
   std::thread thread_;
   std::map<std::string, OutboundConnection> connections_;
-  std::map<std::string, SenderState> senders_;
+  std::map<std::string, ReplayWindow> senders_;
   Clock::time_point dropLoggedAt_;
   std::atomic<std::uint64_t> lastSequence_{0};
   std::atomic<std::uint64_t> messagesSent_{0};
@@ -296,15 +299,13 @@
   constexpr std::size_t MaxSenders = 10000;
   if (senders_.size() >= MaxSenders && senders_.count(envelope.from) == 0)
     return true;
-  SenderState &lastReceived = senders_[envelope.from];
+  ReplayWindow &received = senders_[envelope.from];
   if (options_.incarnationsIncrease &&
-      envelope.incarnation < lastReceived.incarnation)
-    return true;
-  if (envelope.incarnation == lastReceived.incarnation &&
-      envelope.sequence <= lastReceived.sequence)
+      envelope.incarnation < received.incarnation())
     return true;
-  lastReceived = {envelope.incarnation, envelope.sequence};
-  return false;
+  if (envelope.incarnation != received.incarnation())
+    received = ReplayWindow(envelope.incarnation);
+  return !received.accept(envelope.sequence, mayArriveLate(envelope.message));
 }
 
 void PeerMesh::Impl::onPayload(const std::string &bytes) {
