Large replies between replicas are announced

A fetch failed after one second without a reply. On a slow link or a busy machine a reply of 650 KB takes 0.5 to 0.9 s, one of 1 MiB longer; then a second one went beside it and delayed both.

Change: the peer announces a reply of 64 KiB or more by a message without content, which gives the fetch four seconds. Its version is that of the request, so hosts of earlier releases ignore it. Without an announcement the fetch still fails after a second.

--- a/include/auburnspring/decision/peer_fetch.h
+++ b/include/auburnspring/decision/peer_fetch.h
@@ -13,17 +13,17 @@
 /// slow link a second reply beside the first would delay both.
 class PeerFetch {
 public:
-  /// Time after which a fetch without a reply has failed. A large item may take
-  /// most of it on a slow link. Each failure in a row doubles the time, up to
-  /// MaxTimeout.
+  /// Time after which a fetch without a sign of a reply has failed. Each
+  /// failure in a row doubles the time, up to MaxTimeout.
   static constexpr Duration Timeout = std::chrono::seconds(1);
+  /// Time for the rest of a large reply that has been announced.
   static constexpr Duration MaxTimeout = std::chrono::seconds(4);
   /// Least time between two fetches.
   static constexpr Duration Interval = std::chrono::milliseconds(150);
 
   /// True if a fetch may begin. One whose time is over fails.
   bool mayBegin(TimePoint now) {
-    if (host_ && now >= startedAt_ + timeout())
+    if (host_ && now >= failsAt_)
       fail();
     return !host_ && now >= startedAt_ + Interval;
   }
@@ -31,6 +31,13 @@
   void begin(const std::string &host, TimePoint now) {
     host_ = host;
     startedAt_ = now;
+    failsAt_ = now + timeout();
+  }
+
+  /// Handles the announcement of a large reply.
+  void onReplyAnnounced(const std::string &from, TimePoint now) {
+    if (host_ == from)
+      failsAt_ = now + MaxTimeout;
   }
 
   /// Handles a reply; `isNews` if it brought something new.
@@ -76,6 +83,7 @@
   /// Host of the fetch in progress.
   std::optional<std::string> host_;
   TimePoint startedAt_;
+  TimePoint failsAt_;
   std::string failedHost_;
   int failures_ = 0;
 };
--- a/include/auburnspring/decision/peer_message.h
+++ b/include/auburnspring/decision/peer_message.h
@@ -212,6 +212,10 @@
   /// Differences to what the receiver holds, in place of the values of some
   /// changes.
   std::vector<ContentDelta> deltas;
+  /// Announces a large reply, which follows, and holds nothing else. Its
+  /// version is that of the request, so that hosts of earlier releases ignore
+  /// it.
+  bool isAnnouncement = false;
 };
 
 /// Requests the operator's configuration in force at the receiver. A store that
--- a/include/auburnspring/decision/store_watcher_selector.h
+++ b/include/auburnspring/decision/store_watcher_selector.h
@@ -81,6 +81,10 @@
   void onFetchReply(const std::string &from, bool isNews) {
     fetch_.onReply(from, isNews);
   }
+  /// Handles the announcement of a large reply.
+  void onFetchReplyAnnounced(const std::string &from, TimePoint now) {
+    fetch_.onReplyAnnounced(from, now);
+  }
   /// Handles the loss of the connection to a peer.
   void onConnectionLost(const std::string &host) {
     fetch_.onConnectionLost(host);
--- a/src/auburnspring/decision/store_watcher_selector_test.cpp
+++ b/src/auburnspring/decision/store_watcher_selector_test.cpp
@@ -181,6 +181,22 @@
   CHECK(host.fetchSource({0, 7}, at(400)) == std::string("a"));
 }
 
+TEST_CASE("a large reply that has been announced has more time") {
+  StoreWatcherSelector host = makeFetchingHost();
+  constexpr std::int64_t MaxTimeoutMillis =
+      PeerFetch::MaxTimeout / std::chrono::milliseconds(1);
+  host.onFetchReplyAnnounced("a", at(100));
+  SECTION("by another peer it has not") {
+    CHECK(host.fetchSource({0, 5}, at(10 + TimeoutMillis)));
+  }
+  SECTION("by the peer that was asked") {
+    host.onFetchReplyAnnounced("b", at(100));
+    CHECK_FALSE(host.fetchSource({0, 5}, at(99 + MaxTimeoutMillis)));
+    CHECK(host.fetchSource({0, 5}, at(100 + MaxTimeoutMillis)) ==
+          std::string("a"));
+  }
+}
+
 TEST_CASE("a fetch that fails is repeated at another peer") {
   StoreWatcherSelector host = makeFetchingHost();
   SECTION("for which there is no reply in time") {
--- a/src/auburnspring/serving/replica_exchange.cpp
+++ b/src/auburnspring/serving/replica_exchange.cpp
@@ -12,9 +12,9 @@
 
 /// Values from this size on go as differences.
 constexpr std::size_t LargeValueBytes = 16 << 10;
-/// Smaller replies are not logged: each change of an upstream causes one for
-/// every host.
-constexpr std::size_t LoggedReplyBytes = 64 << 10;
+/// Replies from this size on take a while on a slow link: they are announced
+/// and logged.
+constexpr std::size_t LargeReplyBytes = 64 << 10;
 
 std::size_t valueBytes(const ReplicaReply &reply) {
   std::size_t bytes = 0;
@@ -29,7 +29,7 @@
 void logLargeReply(const char *event, const std::string &peer,
                    const StoreVersion &after, const ReplicaReply &reply,
                    std::size_t bytes) {
-  if (bytes < LoggedReplyBytes)
+  if (bytes < LargeReplyBytes)
     return;
   logEvent(LogLevel::Info, event,
            {{"peer", peer},
@@ -111,10 +111,18 @@
   ++counters_.replies;
   counters_.bytesSent += bytes;
   logLargeReply("replica_reply_sent", from, request.version, reply, bytes);
+  if (bytes >= LargeReplyBytes) {
+    ReplicaReply announcement;
+    announcement.version = request.version;
+    announcement.isAnnouncement = true;
+    peers_->send(from, std::move(announcement));
+  }
   peers_->send(from, std::move(reply));
 }
 
 void ReplicaExchange::onReply(const std::string &from, ReplicaReply reply) {
+  if (reply.isAnnouncement)
+    return selector_->onFetchReplyAnnounced(from, steadyNow());
   const StoreVersion own = follower_->replica().version();
   const std::size_t bytes = valueBytes(reply);
   counters_.bytesReceived += bytes;
--- a/src/auburnspring/wire/peer_codec.cpp
+++ b/src/auburnspring/wire/peer_codec.cpp
@@ -392,7 +392,8 @@
   return withVersion({{"whole", reply.isSnapshot},
                       {"steady", reply.removalsAreConfirmed},
                       {"changes", std::move(changes)},
-                      {"deltas", std::move(deltas)}},
+                      {"deltas", std::move(deltas)},
+                      {"follows", reply.isAnnouncement}},
                      reply.version);
 }
 
@@ -415,6 +416,7 @@
   for (const nlohmann::json &delta :
        json.value("deltas", nlohmann::json::array()))
     reply.deltas.push_back(readContentDelta(delta));
+  reply.isAnnouncement = json.value("follows", false);
   return reply;
 }
 
--- a/src/auburnspring/wire/peer_codec_test.cpp
+++ b/src/auburnspring/wire/peer_codec_test.cpp
@@ -217,8 +217,10 @@
   CHECK(request.held[0].parts == held.parts);
   CHECK(roundTrip(OperatorConfigurationRequest{held}).held->parts ==
         held.parts);
-  checkDelta(
-      roundTrip(ReplicaReply{false, false, {1, 4}, {}, {delta}}).deltas.at(0));
+  checkDelta(roundTrip(ReplicaReply{false, false, {1, 4}, {}, {delta}, false})
+                 .deltas.at(0));
+  CHECK(roundTrip(ReplicaReply{false, false, {1, 4}, {}, {}, true})
+            .isAnnouncement);
   checkDelta(*roundTrip(OperatorConfigurationReply{"", delta}).delta);
 }
 
@@ -234,6 +236,7 @@
   fields.erase("held");
   fields.erase("delta");
   fields.erase("deltas");
+  fields.erase("follows");
   if (fields.contains("changes"))
     for (nlohmann::json &change : fields["changes"])
       change.erase(4);
