Soak: odd entries of upstreams, and storms of large configurations

Fault set 7 has the faults of this change: another writer's entries that hosts have to ignore, which excuses nothing, and configurations of 300 KB that follow one another quickly.

--- a/soak/fault_injector.cpp
+++ b/soak/fault_injector.cpp
@@ -86,6 +86,9 @@
       {"crash_worker", &Self::crashUpstream, 3},
       {"workers_name_limits", &Self::upstreamsNameLimits, LimitsFaultSet},
       {"workers_name_limits", &Self::upstreamsNameLimits, LimitsFaultSet},
+      {"large_configurations", &Self::burstOfLargeConfigurations,
+       OddEntriesFaultSet},
+      {"odd_entry", &Self::oddEntry, OddEntriesFaultSet},
   };
   kinds.erase(
       std::remove_if(kinds.begin(), kinds.end(),
@@ -432,4 +435,15 @@
     runAfter(at, [this] { cluster_->publishConfiguration(); });
 }
 
+void FaultInjector::burstOfLargeConfigurations(Duration span) {
+  cluster_->growConfiguration();
+  burstOfConfigurations(span);
+}
+
+// No disruption is recorded: hosts ignore what they can't use.
+void FaultInjector::oddEntry(Duration span) {
+  cluster_->writeOddEntry(random_() % kinds_.size());
+  runAfter(span, [this] { cluster_->removeOddEntry(); });
+}
+
 } // namespace auburnspring::soak
--- a/soak/fault_injector.h
+++ b/soak/fault_injector.h
@@ -14,7 +14,7 @@
 public:
   /// Kinds of faults that were added together. A seed's sequence depends on the
   /// kinds, so a seed that failed is kept with the set it failed with.
-  static constexpr int LatestFaultSet = 6;
+  static constexpr int LatestFaultSet = 7;
   /// First set with upstreams of several software versions.
   static constexpr int VersionsFaultSet = 3;
   /// From this set on, one prompt part crashes upstreams.
@@ -23,6 +23,9 @@
   static constexpr int LimitsFaultSet = 5;
   /// From this set on, all hosts are killed at once while streams break.
   static constexpr int KilledStreamsFaultSet = 6;
+  /// From this set on, another writer leaves odd entries among those of the
+  /// upstreams, and configurations are large.
+  static constexpr int OddEntriesFaultSet = 7;
 
   FaultInjector(asio::io_context &io, SoakCluster *cluster,
                 GuaranteeChecker *checker, std::uint64_t seed,
@@ -99,6 +102,8 @@
   void resetCallersOfFirstHost(Duration span);
   void changeConfiguration(Duration span);
   void burstOfConfigurations(Duration span);
+  void burstOfLargeConfigurations(Duration span);
+  void oddEntry(Duration span);
 
   asio::io_context &io_;
   SoakCluster *cluster_;
--- a/soak/soak_cluster.cpp
+++ b/soak/soak_cluster.cpp
@@ -10,6 +10,7 @@
 #include <algorithm>
 #include <csignal>
 #include <fstream>
+#include <random>
 
 namespace auburnspring::soak {
 
@@ -31,6 +32,19 @@
 /// From an upstream's crash until its entry is gone and another one starts.
 constexpr Duration CrashedTime = std::chrono::milliseconds(1000);
 constexpr const char *FirstVersion = "v1";
+/// Length of what makes a configuration large, the same in each.
+constexpr std::size_t LargeCommentBytes = 300000;
+constexpr std::size_t OddEntryBytes = 1 << 20;
+constexpr const char *OddEntryKey = "servers/odd";
+
+/// Text that doesn't repeat itself.
+std::string longText(std::size_t bytes) {
+  std::mt19937 random(1);
+  std::string text(bytes, ' ');
+  for (char &c : text)
+    c = static_cast<char>('a' + random() % 26);
+  return text;
+}
 
 json route(const char *name, const char *prefix, const char *kind,
            const char *service, bool isResumable) {
@@ -175,7 +189,7 @@
   single["PathPrefix"] = "/stream/single/";
   single["MaxAttempts"] = 1;
   const std::string versionPath = fmt::format("/v/{}/", version);
-  const json config = {
+  json config = {
       {"Version", version},
       {"Routes",
        {route("book", "/book/", "unsafe", "jobs", false),
@@ -198,12 +212,29 @@
       {"Tenants",
        {{{"Name", "bozi"},
          {"ApiKeys", {"k1", fmt::format("k1-{}", version)}}}}}};
+  if (commentBytes_ > 0)
+    config["Comment"] = longText(commentBytes_);
   configuration_ = config.dump();
   store_.put(names::ConfigurationKey, configuration_);
   previousVersion_ = std::exchange(version_, version);
   checker_->onConfiguration(version, steadyNow());
 }
 
+void SoakCluster::growConfiguration() { commentBytes_ = LargeCommentBytes; }
+
+void SoakCluster::writeOddEntry(std::size_t kind) {
+  static const std::vector<std::string> values = {
+      std::string(OddEntryBytes, '['),
+      R"({"Service":"jobs","Address":"127.0.0.1:99999","Zone":"a",
+          "Version":"v1","Slots":8,"State":"ready"})",
+      R"({"Service":"jobs","Address":"127.0.0.1:80","Zone":"a",
+          "Version":"v1","Slots":1e18,"State":"ready"})",
+      "\xff\xfe"};
+  store_.put(OddEntryKey, values[kind % values.size()]);
+}
+
+void SoakCluster::removeOddEntry() { store_.remove(OddEntryKey); }
+
 void SoakCluster::addUpstream(const std::string &service,
                               const std::string &version) {
   auto upstream = std::make_unique<SoakUpstream>();
--- a/soak/soak_cluster.h
+++ b/soak/soak_cluster.h
@@ -67,6 +67,12 @@
   void resumeHost(SoakHost *host);
 
   void publishConfiguration();
+  /// The configurations from now on are large and differ little.
+  void growConfiguration();
+  /// Another writer leaves an entry among those of the upstreams that can't be
+  /// used, one of several kinds, or removes it.
+  void writeOddEntry(std::size_t kind);
+  void removeOddEntry();
   void addUpstream(const std::string &service, const std::string &version);
   /// Records a disruption. Its connections are reset; its entry goes some time
   /// later, when another upstream of its version starts.
@@ -107,6 +113,7 @@
   std::map<std::string, std::unique_ptr<http::ClientCall>> readinessProbes_;
   /// The configuration that was published last.
   std::string configuration_;
+  std::size_t commentBytes_ = 0;
   std::int64_t version_ = 0;
   std::int64_t previousVersion_ = 0;
   int nextUpstream_ = 1;
