--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -50,6 +50,7 @@
 usage: auburnspring-soak --program FILE [options]
 
   -p, --program FILE   the serving program (auburnspring-platformd)
+  -o, --other FILE     program of every second host, such as an earlier build
   -s, --seed N         seed of the faults and the callers (1)
   -f, --faults SECONDS how long faults are injected (12)
   -n, --hosts N        serving hosts (3)
@@ -67,6 +68,7 @@
 
 struct Options {
   std::string program;
+  std::string otherProgram;
   std::uint64_t seed = 1;
   long faultSeconds = 12;
   std::size_t hosts = 3;
@@ -79,6 +81,7 @@
 bool parseOptions(int argc, char **argv, Options *options) {
   static const option longOptions[] = {
       {"program", required_argument, nullptr, 'p'},
+      {"other", required_argument, nullptr, 'o'},
       {"seed", required_argument, nullptr, 's'},
       {"faults", required_argument, nullptr, 'f'},
       {"hosts", required_argument, nullptr, 'n'},
@@ -88,12 +91,15 @@
       {"help", no_argument, nullptr, 'h'},
       {nullptr, 0, nullptr, 0}};
   int found = 0;
-  while ((found = getopt_long(argc, argv, "p:s:f:n:c:k:d:h", longOptions,
+  while ((found = getopt_long(argc, argv, "p:o:s:f:n:c:k:d:h", longOptions,
                               nullptr)) != -1) {
     switch (found) {
     case 'p':
       options->program = optarg;
       break;
+    case 'o':
+      options->otherProgram = optarg;
+      break;
     case 's':
       options->seed = std::strtoull(optarg, nullptr, 10);
       break;
@@ -139,7 +145,9 @@
   asio::io_context io(1);
   GuaranteeChecker checker{GuaranteeBounds()};
   ClusterOptions clusterOptions;
-  clusterOptions.program = options.program;
+  clusterOptions.programs.push_back(options.program);
+  if (!options.otherProgram.empty())
+    clusterOptions.programs.push_back(options.otherProgram);
   clusterOptions.directory = options.directory;
   clusterOptions.hosts = options.hosts;
   const bool hasVersions = options.faultSet >= FaultInjector::VersionsFaultSet;
--- a/soak/soak_cluster.cpp
+++ b/soak/soak_cluster.cpp
@@ -72,6 +72,7 @@
   for (std::size_t i = 0; i < options_.hosts; ++i) {
     auto host = std::make_unique<SoakHost>();
     host->name = fmt::format("entry-{}", i + 1);
+    host->program = options_.programs[i % options_.programs.size()];
     host->settingsFile =
         fmt::format("{}/{}.json", options_.directory, host->name);
     host->logFile = fmt::format("{}/{}.log", options_.directory, host->name);
@@ -135,9 +136,9 @@
   host->restartAt = TimePoint();
   checker_->disruptions().recordStart(host->name, now);
   checker_->disruptions().recordEnd(host->name, now);
-  if (!host->process.start({options_.program, "--settings", host->settingsFile},
+  if (!host->process.start({host->program, "--settings", host->settingsFile},
                            host->logFile))
-    checker_->reportViolation("SOAK", "can't start " + options_.program);
+    checker_->reportViolation("SOAK", "can't start " + host->program);
 }
 
 void SoakCluster::stopHost(SoakHost *host) {
--- a/soak/soak_cluster.h
+++ b/soak/soak_cluster.h
@@ -21,7 +21,8 @@
 namespace auburnspring::soak {
 
 struct ClusterOptions {
-  std::string program;
+  /// The hosts run these in turn.
+  std::vector<std::string> programs;
   /// Where settings and logs of the processes are written.
   std::string directory;
   std::size_t hosts = 3;
--- a/soak/soak_host.h
+++ b/soak/soak_host.h
@@ -14,6 +14,7 @@
 /// connections.
 struct SoakHost {
   std::string name;
+  std::string program;
   std::string settingsFile;
   std::string logFile;
   Endpoint callerEndpoint;
