--- a/soak/fault_injector.cpp
+++ b/soak/fault_injector.cpp
@@ -87,8 +87,8 @@
       {"workers_name_limits", &Self::upstreamsNameLimits, LimitsFaultSet},
       {"workers_name_limits", &Self::upstreamsNameLimits, LimitsFaultSet},
       {"large_configurations", &Self::burstOfLargeConfigurations,
-       OddEntriesFaultSet},
-      {"odd_entry", &Self::oddEntry, OddEntriesFaultSet},
+       MalformedEntriesFaultSet},
+      {"malformed_entry", &Self::malformedEntry, MalformedEntriesFaultSet},
   };
   kinds.erase(
       std::remove_if(kinds.begin(), kinds.end(),
@@ -441,9 +441,9 @@
 }
 
 // No disruption is recorded: hosts ignore what they can't use.
-void FaultInjector::oddEntry(Duration span) {
-  cluster_->writeOddEntry(random_() % kinds_.size());
-  runAfter(span, [this] { cluster_->removeOddEntry(); });
+void FaultInjector::malformedEntry(Duration span) {
+  cluster_->writeMalformedEntry(random_() % kinds_.size());
+  runAfter(span, [this] { cluster_->removeMalformedEntry(); });
 }
 
 } // namespace auburnspring::soak
--- a/soak/fault_injector.h
+++ b/soak/fault_injector.h
@@ -23,9 +23,9 @@
   static constexpr int LimitsFaultSet = 5;
   /// From this set on, all hosts are killed at once while streams break.
   static constexpr int KilledStreamsFaultSet = 6;
-  /// From this set on, another writer leaves odd entries among those of the
-  /// upstreams, and configurations are large.
-  static constexpr int OddEntriesFaultSet = 7;
+  /// From this set on, another writer leaves malformed entries among those of
+  /// the upstreams, and configurations are large.
+  static constexpr int MalformedEntriesFaultSet = 7;
 
   FaultInjector(asio::io_context &io, SoakCluster *cluster,
                 GuaranteeChecker *checker, std::uint64_t seed,
@@ -103,7 +103,7 @@
   void changeConfiguration(Duration span);
   void burstOfConfigurations(Duration span);
   void burstOfLargeConfigurations(Duration span);
-  void oddEntry(Duration span);
+  void malformedEntry(Duration span);
 
   asio::io_context &io_;
   SoakCluster *cluster_;
--- a/soak/soak_cluster.cpp
+++ b/soak/soak_cluster.cpp
@@ -34,8 +34,8 @@
 constexpr const char *FirstVersion = "v1";
 /// Length of what makes a configuration large, the same in each.
 constexpr std::size_t LargeCommentBytes = 300000;
-constexpr std::size_t OddEntryBytes = 1 << 20;
-constexpr const char *OddEntryKey = "servers/odd";
+constexpr std::size_t NestedEntryBytes = 1 << 20;
+constexpr const char *MalformedEntryKey = "servers/malformed";
 
 /// Text that doesn't repeat itself.
 std::string longText(std::size_t bytes) {
@@ -223,18 +223,18 @@
 
 void SoakCluster::growConfiguration() { commentBytes_ = LargeCommentBytes; }
 
-void SoakCluster::writeOddEntry(std::size_t kind) {
+void SoakCluster::writeMalformedEntry(std::size_t kind) {
   static const std::vector<std::string> values = {
-      std::string(OddEntryBytes, '['),
+      std::string(NestedEntryBytes, '['),
       R"({"Service":"jobs","Address":"127.0.0.1:99999","Zone":"a",
           "Version":"v1","Slots":8,"State":"ready"})",
       R"({"Service":"jobs","Address":"127.0.0.1:80","Zone":"a",
           "Version":"v1","Slots":1e18,"State":"ready"})",
       "\xff\xfe"};
-  store_.put(OddEntryKey, values[kind % values.size()]);
+  store_.put(MalformedEntryKey, values[kind % values.size()]);
 }
 
-void SoakCluster::removeOddEntry() { store_.remove(OddEntryKey); }
+void SoakCluster::removeMalformedEntry() { store_.remove(MalformedEntryKey); }
 
 void SoakCluster::addUpstream(const std::string &service,
                               const std::string &version) {
--- a/soak/soak_cluster.h
+++ b/soak/soak_cluster.h
@@ -72,8 +72,8 @@
   void growConfiguration();
   /// Another writer leaves an entry among those of the upstreams that can't be
   /// used, one of several kinds, or removes it.
-  void writeOddEntry(std::size_t kind);
-  void removeOddEntry();
+  void writeMalformedEntry(std::size_t kind);
+  void removeMalformedEntry();
   void addUpstream(const std::string &service, const std::string &version);
   /// Records a disruption. Its connections are reset; its entry goes some time
   /// later, when another upstream of its version starts.
