--- a/soak/fault_injector.cpp
+++ b/soak/fault_injector.cpp
@@ -442,7 +442,7 @@
 
 // No disruption is recorded: hosts ignore what they can't use.
 void FaultInjector::malformedEntry(Duration span) {
-  cluster_->writeMalformedEntry(random_() % kinds_.size());
+  cluster_->writeMalformedEntry(random_());
   runAfter(span, [this] { cluster_->removeMalformedEntry(); });
 }
 
--- a/soak/soak_cluster.cpp
+++ b/soak/soak_cluster.cpp
@@ -3,6 +3,7 @@
 #include "auburnspring/base/clock.h"
 #include "platform/names.h"
 #include "platform/testing/free_ports.h"
+#include "platform/testing/random_text.h"
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
@@ -10,7 +11,6 @@
 #include <algorithm>
 #include <csignal>
 #include <fstream>
-#include <random>
 
 namespace auburnspring::soak {
 
@@ -37,15 +37,6 @@
 constexpr std::size_t NestedEntryBytes = 1 << 20;
 constexpr const char *MalformedEntryKey = "servers/malformed";
 
-/// Text that doesn't repeat itself.
-std::string longText(std::size_t bytes) {
-  std::mt19937 random(1);
-  std::string text(bytes, ' ');
-  for (char &c : text)
-    c = static_cast<char>('a' + random() % 26);
-  return text;
-}
-
 json route(const char *name, const char *prefix, const char *kind,
            const char *service, bool isResumable) {
   return {{"Name", name},
@@ -214,7 +205,7 @@
        {{{"Name", "bozi"},
          {"ApiKeys", {"k1", fmt::format("k1-{}", version)}}}}}};
   if (commentBytes_ > 0)
-    config["Comment"] = longText(commentBytes_);
+    config["Comment"] = platform::randomText(commentBytes_, 1);
   configuration_ = config.dump();
   store_.put(names::ConfigurationKey, configuration_);
   previousVersion_ = std::exchange(version_, version);
