--- a/include/auburnspring/serving/replica_exchange.h
+++ b/include/auburnspring/serving/replica_exchange.h
@@ -71,7 +71,7 @@
   StoreWatcherSelector *selector_;
   ContentSplitter splitter_;
   PeerFetch configurationFetch_;
-  /// False after a difference that didn't match, until a whole value has come.
+  /// False for the next request after a difference that didn't match.
   bool describesHeld_ = true;
   Counters counters_;
 };
