--- a/include/auburnspring/http/server.h
+++ b/include/auburnspring/http/server.h
@@ -4,11 +4,11 @@
 #include "auburnspring/base/time.h"
 #include "auburnspring/config/settings.h"
 #include "auburnspring/http/exchange.h"
+#include "auburnspring/http/timer.h"
 
 #include <absl/status/status.h>
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
-#include <asio/steady_timer.hpp>
 
 #include <cstdint>
 #include <functional>
@@ -37,6 +37,7 @@
   using Handler = std::function<void(std::shared_ptr<Exchange>)>;
 
   Server(asio::io_context &io, Handler handler);
+  /// Closes all connections.
   ~Server();
   Server(const Server &) = delete;
   Server &operator=(const Server &) = delete;
@@ -72,13 +73,14 @@
 
   asio::ip::tcp::acceptor acceptor_;
   /// Delays the next accept after an error.
-  asio::steady_timer acceptTimer_;
+  Timer acceptTimer_;
   Handler handler_;
   ServerLimits limits_;
   std::uint64_t closedWithBytes_ = 0;
   bool draining_ = false;
   Duration linger_{0};
   std::unordered_set<std::shared_ptr<ServerConnection>> connections_;
+  HandlerScope handlers_;
 };
 
 } // namespace auburnspring::http
--- a/include/auburnspring/serving/active_request.h
+++ b/include/auburnspring/serving/active_request.h
@@ -3,11 +3,10 @@
 
 #include "auburnspring/decision/stage_plan.h"
 #include "auburnspring/http/exchange.h"
+#include "auburnspring/http/timer.h"
 #include "auburnspring/serving/attempt.h"
 #include "auburnspring/serving/serving_context.h"
 
-#include <asio/steady_timer.hpp>
-
 #include <functional>
 #include <memory>
 #include <string>
@@ -220,11 +219,11 @@
   std::optional<std::string> softwareVersion_;
   /// Attempts that an upstream may have run.
   std::int64_t possibleRuns_ = 0;
-  asio::steady_timer deadlineTimer_;
+  http::Timer deadlineTimer_;
   /// Hedge delay of a call, stall timeout of a stream.
-  asio::steady_timer progressTimer_;
+  http::Timer progressTimer_;
   /// Bounds how long two upstreams run one stream.
-  asio::steady_timer overlapTimer_;
+  http::Timer overlapTimer_;
   /// The stream has stalled and no attempt has brought an event since.
   bool isStalled_ = false;
   /// Stages run again for a second attempt of a stream whose first one goes on.
@@ -237,6 +236,9 @@
   bool streamStarted_ = false;
   bool callerDisconnected_ = false;
   bool done_ = false;
+  /// Of all that the request waits for. They end with the request, which is
+  /// before this object does.
+  HandlerScope handlers_;
 };
 
 } // namespace auburnspring
--- a/include/auburnspring/serving/part_guard_exchange.h
+++ b/include/auburnspring/serving/part_guard_exchange.h
@@ -2,12 +2,12 @@
 #define AUBURNSPRING_SERVING_PART_GUARD_EXCHANGE_H
 
 #include "auburnspring/decision/part_guard.h"
+#include "auburnspring/http/timer.h"
 #include "auburnspring/serving/metadata_store.h"
 #include "auburnspring/serving/peer_network.h"
 #include "auburnspring/serving/serving_metrics.h"
 
 #include <asio/io_context.hpp>
-#include <asio/steady_timer.hpp>
 
 #include <string>
 #include <string_view>
@@ -58,7 +58,7 @@
   void store(const PartGuard::Decision &decision);
   void scheduleFlush();
 
-  asio::steady_timer timer_;
+  http::Timer timer_;
   bool isFlushScheduled_ = false;
   PeerNetwork *peers_;
   MetadataStore *store_;
--- a/include/auburnspring/serving/peer_network.h
+++ b/include/auburnspring/serving/peer_network.h
@@ -1,6 +1,7 @@
 #ifndef AUBURNSPRING_SERVING_PEER_NETWORK_H
 #define AUBURNSPRING_SERVING_PEER_NETWORK_H
 
+#include "auburnspring/base/handler_scope.h"
 #include "auburnspring/decision/batching_host.h"
 #include "auburnspring/peer/peer_mesh.h"
 
@@ -123,7 +124,7 @@
   Options options_;
   MessageHandler messageHandler_;
   DisconnectHandler disconnectHandler_;
-  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+  HandlerScope handlers_;
   PeerMesh mesh_;
   std::map<std::string, Peer> peers_;
   bool selfLeaving_ = false;
--- a/include/auburnspring/serving/piece_dispatcher.h
+++ b/include/auburnspring/serving/piece_dispatcher.h
@@ -4,12 +4,11 @@
 #include "auburnspring/decision/piece_batcher.h"
 #include "auburnspring/decision/upstream_registry.h"
 #include "auburnspring/http/client_call.h"
+#include "auburnspring/http/timer.h"
 #include "auburnspring/serving/dialect.h"
 #include "auburnspring/serving/peer_network.h"
 #include "auburnspring/serving/request_limit_exchange.h"
 
-#include <asio/steady_timer.hpp>
-
 #include <functional>
 #include <map>
 #include <memory>
@@ -101,13 +100,17 @@
     explicit PoolBatcher(asio::io_context &io, const std::string &pool)
         : batcher(pool), timer(io) {}
     PieceBatcher batcher;
-    asio::steady_timer timer;
+    http::Timer timer;
     std::uint64_t upstreamsVersion = 0;
     /// Since when the pool is assigned to another host.
     std::optional<TimePoint> reassignedSince;
   };
 
+  /// Owns its call and its timer, and so ends the handlers of both, which refer
+  /// to it.
   struct BatchCall {
+    BatchCall(asio::io_context &io, std::uint64_t id) : number(id), timer(io) {}
+    std::uint64_t number;
     std::string pool;
     /// Number that the batcher gave the batch.
     std::uint64_t batchNumber = 0;
@@ -119,12 +122,15 @@
     UpstreamStatePtr upstream;
     PermitLeasePtr lease;
     std::unique_ptr<http::ClientCall> call;
-    std::unique_ptr<asio::steady_timer> timer;
+    http::Timer timer;
   };
 
+  /// Owns its call and its timer likewise.
   struct ReleaseCall {
+    explicit ReleaseCall(asio::io_context &io) : timer(io) {}
+    std::vector<std::string> results;
     std::unique_ptr<http::ClientCall> call;
-    std::unique_ptr<asio::steady_timer> timer;
+    http::Timer timer;
   };
 
   void transferJobs(PoolBatcher *poolBatcher, const std::string &next,
@@ -143,7 +149,8 @@
   /// A permit may have come up since the last dispatch.
   void dispatchIfLimited(const std::string &pool);
   void startBatch(const std::string &pool, const PieceBatch &batch);
-  void endBatch(std::uint64_t number, http::CallStatus callStatus,
+  void onBatchHead(BatchCall *call, const http::ResponseHead &head);
+  void endBatch(BatchCall *ended, http::CallStatus callStatus,
                 std::string_view failure);
   void scheduleDispatch(PoolBatcher *poolBatcher, TimePoint now);
   /// Tells the guard what a batch shows of the jobs in it.
@@ -151,6 +158,11 @@
                   const BatchCall &call);
   void queueRelease(const std::vector<std::string> &results);
   void flushReleases();
+  void startRelease(const Endpoint &endpoint,
+                    const std::vector<std::string> &results);
+  void endRelease(std::uint64_t number);
+  /// The memory that the results took at their upstream is free.
+  void noteReleased(const std::vector<std::string> &results);
   void probeUnresponsiveHosts(TimePoint now);
 
   asio::io_context &io_;
@@ -168,7 +180,7 @@
   std::map<std::string, LivenessProbe> probes_;
   /// Results to release, by the address of their upstream.
   std::map<std::string, std::vector<std::string>> queuedReleases_;
-  asio::steady_timer releaseTimer_;
+  http::Timer releaseTimer_;
   bool releaseScheduled_ = false;
   std::unordered_map<std::uint64_t, ReleaseCall> releases_;
   std::uint64_t nextRelease_ = 1;
--- a/include/auburnspring/serving/reach_exchange.h
+++ b/include/auburnspring/serving/reach_exchange.h
@@ -6,6 +6,7 @@
 #include "auburnspring/decision/reach_monitor.h"
 #include "auburnspring/decision/upstream_reach.h"
 #include "auburnspring/decision/upstream_registry.h"
+#include "auburnspring/http/timer.h"
 #include "auburnspring/serving/peer_network.h"
 
 #include <asio/io_context.hpp>
@@ -99,8 +100,7 @@
   std::map<std::string, TimePoint> poolRefreshedAt_;
   std::map<std::string, TimePoint> poolProbedAt_;
   std::mt19937_64 random_;
-  /// Probes that end later than this object are ignored.
-  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+  HandlerScope handlers_;
 };
 
 } // namespace auburnspring
--- a/include/auburnspring/serving/request_limit_exchange.h
+++ b/include/auburnspring/serving/request_limit_exchange.h
@@ -4,13 +4,13 @@
 #include "auburnspring/decision/cold_terms.h"
 #include "auburnspring/decision/pool_rejections.h"
 #include "auburnspring/decision/upstream_registry.h"
+#include "auburnspring/http/timer.h"
 #include "auburnspring/serving/dialect.h"
 #include "auburnspring/serving/peer_network.h"
 #include "auburnspring/serving/permit_lease.h"
 #include "auburnspring/serving/serving_metrics.h"
 
 #include <asio/io_context.hpp>
-#include <asio/steady_timer.hpp>
 
 #include <cstdint>
 #include <functional>
@@ -76,11 +76,12 @@
 
 private:
   struct Pending {
+    explicit Pending(asio::io_context &io) : timer(io) {}
     UpstreamStatePtr upstream;
     Handler handler;
     std::string giver;
     TimePoint askedAt;
-    std::unique_ptr<asio::steady_timer> timer;
+    http::Timer timer;
   };
 
   /// Applies a statement to this host's state; true if it changes a limit.
@@ -121,8 +122,7 @@
   /// By pool.
   std::map<std::string, PoolRejections> rejections_;
   std::uint64_t nextNumber_ = 1;
-  /// Leases that outlive this object do nothing.
-  std::shared_ptr<bool> isAlive_ = std::make_shared<bool>(true);
+  HandlerScope handlers_;
 };
 
 } // namespace auburnspring
--- a/include/auburnspring/serving/serving_host.h
+++ b/include/auburnspring/serving/serving_host.h
@@ -3,6 +3,7 @@
 
 #include "auburnspring/decision/store_watcher_selector.h"
 #include "auburnspring/http/server.h"
+#include "auburnspring/http/timer.h"
 #include "auburnspring/serving/active_request.h"
 #include "auburnspring/serving/peer_network.h"
 #include "auburnspring/serving/replica_exchange.h"
@@ -13,7 +14,6 @@
 
 #include <absl/status/status.h>
 #include <asio/signal_set.hpp>
-#include <asio/steady_timer.hpp>
 
 #include <functional>
 #include <map>
@@ -114,7 +114,7 @@
   http::Server handOverServer_;
   http::Server readinessServer_;
   http::Server metricsServer_;
-  asio::steady_timer tickTimer_;
+  http::Timer tickTimer_;
   std::unordered_map<ActiveRequest *, std::shared_ptr<ActiveRequest>> requests_;
   StoreWatcherSelector watcherSelector_;
   ReplicaExchange replicaExchange_;
@@ -129,6 +129,8 @@
   bool idleConnectionsClosed_ = false;
   bool deregistered_ = false;
   TimePoint stoppingSince_;
+  /// Of requests that have ended, which may outlive this object.
+  HandlerScope handlers_;
 };
 
 } // namespace auburnspring
--- a/include/auburnspring/serving/store_follower.h
+++ b/include/auburnspring/serving/store_follower.h
@@ -3,10 +3,10 @@
 
 #include "auburnspring/decision/store_freshness.h"
 #include "auburnspring/decision/store_replica.h"
+#include "auburnspring/http/timer.h"
 #include "auburnspring/serving/metadata_store.h"
 
 #include <asio/io_context.hpp>
-#include <asio/steady_timer.hpp>
 
 #include <functional>
 #include <optional>
@@ -124,8 +124,8 @@
   /// Newest era that the store or a peer has stated.
   std::optional<std::int64_t> era_;
   std::uint64_t restoreCount_ = 0;
-  asio::steady_timer readTimer_;
-  asio::steady_timer renewTimer_;
+  http::Timer readTimer_;
+  http::Timer renewTimer_;
   std::mt19937_64 random_;
   std::int64_t lease_ = 0;
   /// Number of the current registration. Responses to calls of older ones are
@@ -154,9 +154,11 @@
   /// time, and those who asked after it was sent wait for another.
   std::vector<ConfirmHandler> confirmations_;
   bool confirming_ = false;
-  asio::steady_timer confirmTimer_;
+  http::Timer confirmTimer_;
   std::uint64_t storeCalls_ = 0;
   std::size_t hostCount_ = 1;
+  /// Of the calls of the store, which may outlive this object.
+  HandlerScope handlers_;
 };
 
 } // namespace auburnspring
--- a/include/auburnspring/serving/stream_origin_exchange.h
+++ b/include/auburnspring/serving/stream_origin_exchange.h
@@ -3,10 +3,10 @@
 
 #include "auburnspring/decision/stream_origin_holders.h"
 #include "auburnspring/decision/stream_origins.h"
+#include "auburnspring/http/timer.h"
 #include "auburnspring/serving/peer_network.h"
 
 #include <asio/io_context.hpp>
-#include <asio/steady_timer.hpp>
 
 #include <cstdint>
 #include <functional>
@@ -73,12 +73,13 @@
 
 private:
   struct Query {
+    explicit Query(asio::io_context &io) : timer(io) {}
     std::string id;
     Handler handler;
     /// Peers that have not replied.
     std::set<std::string> missing;
     int rounds = 0;
-    std::unique_ptr<asio::steady_timer> timer;
+    http::Timer timer;
   };
 
   /// Chooses anew which hosts write to the store.
--- a/include/auburnspring/serving/stream_origin_store.h
+++ b/include/auburnspring/serving/stream_origin_store.h
@@ -1,6 +1,7 @@
 #ifndef AUBURNSPRING_SERVING_STREAM_ORIGIN_STORE_H
 #define AUBURNSPRING_SERVING_STREAM_ORIGIN_STORE_H
 
+#include "auburnspring/base/handler_scope.h"
 #include "auburnspring/decision/pool_version_history.h"
 #include "auburnspring/decision/stream_origin_pages.h"
 #include "auburnspring/decision/stream_origin_reads.h"
@@ -71,6 +72,8 @@
   std::map<std::uint64_t, Handler> handlers_;
   std::size_t hosts_ = 1;
   Counters counters_;
+  /// Of the calls of the store, which may outlive this object.
+  HandlerScope storeCalls_;
 };
 
 } // namespace auburnspring
--- a/src/auburnspring/http/client_call.cpp
+++ b/src/auburnspring/http/client_call.cpp
@@ -2,10 +2,10 @@
 
 #include "auburnspring/base/log.h"
 #include "auburnspring/http/message_reader.h"
+#include "auburnspring/http/timer.h"
 
 #include <asio/connect.hpp>
 #include <asio/ip/tcp.hpp>
-#include <asio/steady_timer.hpp>
 #include <asio/write.hpp>
 
 #include <netinet/tcp.h>
@@ -66,7 +66,7 @@
   void closeSocket();
 
   asio::ip::tcp::socket socket_;
-  asio::steady_timer timer_;
+  Timer timer_;
   CallOptions options_;
   ClientCallbacks callbacks_;
   MessageReader reader_;
@@ -93,21 +93,17 @@
     socket_.open(remoteEndpoint.protocol(), error);
   if (error) {
     // Reported asynchronously, so that no callback runs before start() returns.
-    timer_.expires_after(std::chrono::seconds(0));
-    timer_.async_wait([self = shared_from_this(),
-                       text = error.message()](asio::error_code waitError) {
-      if (!waitError)
-        self->end(CallStatus::NotSent, text);
-    });
+    timer_.startAfter(Duration(0),
+                      [self = shared_from_this(), text = error.message()] {
+                        self->end(CallStatus::NotSent, text);
+                      });
     return;
   }
   setKeepAliveOptions(socket_);
   asio::error_code ignored;
   socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
-  timer_.expires_after(options_.connectTimeout);
-  timer_.async_wait([self = shared_from_this()](asio::error_code waitError) {
-    if (!waitError && !self->mayHaveBeenSent_)
-      self->end(CallStatus::NotSent, "connect timeout");
+  timer_.startAfter(options_.connectTimeout, [self = shared_from_this()] {
+    self->end(CallStatus::NotSent, "connect timeout");
   });
   socket_.async_connect(remoteEndpoint, [self = shared_from_this()](
                                             asio::error_code connectError) {
--- a/src/auburnspring/http/server.cpp
+++ b/src/auburnspring/http/server.cpp
@@ -5,6 +5,7 @@
 
 #include <asio/post.hpp>
 
+#include <utility>
 #include <vector>
 
 namespace auburnspring::http {
@@ -21,7 +22,10 @@
 Server::Server(asio::io_context &io, Handler handler)
     : acceptor_(io), acceptTimer_(io), handler_(std::move(handler)) {}
 
-Server::~Server() = default;
+Server::~Server() {
+  for (const auto &connection : std::exchange(connections_, {}))
+    connection->close();
+}
 
 absl::Status Server::listen(const Endpoint &endpoint) {
   asio::error_code error;
@@ -49,18 +53,14 @@
 }
 
 void Server::accept() {
-  acceptor_.async_accept(
+  acceptor_.async_accept(handlers_.bind(
       [this](asio::error_code error, asio::ip::tcp::socket socket) {
         if (error == asio::error::operation_aborted)
           return;
         if (error) {
           logEvent(LogLevel::Warning, "accept_failed",
                    {{"error", error.message()}});
-          acceptTimer_.expires_after(AcceptRetryDelay);
-          acceptTimer_.async_wait([this](asio::error_code timerError) {
-            if (!timerError && acceptor_.is_open())
-              accept();
-          });
+          acceptTimer_.startAfter(AcceptRetryDelay, [this] { accept(); });
           return;
         }
         auto connection =
@@ -69,8 +69,9 @@
         connection->start();
         if (draining_)
           connection->closeWhenIdle(linger_);
-        accept();
-      });
+        if (acceptor_.is_open())
+          accept();
+      }));
 }
 
 void Server::remove(ServerConnection *connection) {
--- a/src/auburnspring/http/server_connection.cpp
+++ b/src/auburnspring/http/server_connection.cpp
@@ -161,7 +161,7 @@
 void ServerConnection::onRequest() {
   if (bodyTooLarge_)
     return reject(413);
-  disarmTimer();
+  timer_.cancel();
   if (!reader_.shouldKeepAlive())
     closeAfterResponse_ = true;
   responseEnded_ = false;
@@ -268,18 +268,7 @@
 }
 
 void ServerConnection::armTimer(Duration span) {
-  // A handler that is queued already can't be cancelled any more.
-  const std::uint64_t armed = ++timerNumber_;
-  timer_.expires_after(span);
-  timer_.async_wait([self = shared_from_this(), armed](asio::error_code error) {
-    if (!error && !self->closed_ && armed == self->timerNumber_)
-      self->onTimer();
-  });
-}
-
-void ServerConnection::disarmTimer() {
-  ++timerNumber_;
-  timer_.cancel();
+  timer_.startAfter(span, [self = shared_from_this()] { self->onTimer(); });
 }
 
 void ServerConnection::onTimer() {
--- a/src/auburnspring/http/server_connection.h
+++ b/src/auburnspring/http/server_connection.h
@@ -3,8 +3,7 @@
 
 #include "auburnspring/http/message_reader.h"
 #include "auburnspring/http/server.h"
-
-#include <asio/steady_timer.hpp>
+#include "auburnspring/http/timer.h"
 
 #include <array>
 #include <cstdint>
@@ -47,7 +46,6 @@
   void write();
   void onWritten();
   void armTimer(Duration span);
-  void disarmTimer();
   void onTimer();
   /// Starts to wait for the next request.
   void beginIdle();
@@ -57,9 +55,7 @@
 
   Server *server_;
   asio::ip::tcp::socket socket_;
-  asio::steady_timer timer_;
-  /// Number of the timer that is armed; handlers of others have no effect.
-  std::uint64_t timerNumber_ = 0;
+  Timer timer_;
   MessageReader reader_;
   std::array<char, 16 << 10> buffer_{};
   /// Bytes received but not parsed yet: pipelined requests.
--- a/src/auburnspring/serving/active_request.cpp
+++ b/src/auburnspring/serving/active_request.cpp
@@ -35,16 +35,8 @@
       requestName(exchange_->head.target, organisation_, exchange_->body);
   partNames_ = sharedPartNames(request_.prompt);
   partNames_.push_back(requestName_);
-  exchange_->onDisconnect = [weak = weak_from_this()] {
-    if (const auto self = weak.lock())
-      self->onCallerDisconnected();
-  };
-  deadlineTimer_.expires_at(deadline_);
-  deadlineTimer_.async_wait([weak = weak_from_this()](asio::error_code error) {
-    const auto self = weak.lock();
-    if (!error && self)
-      self->onDeadline();
-  });
+  exchange_->onDisconnect = handlers_.bind([this] { onCallerDisconnected(); });
+  deadlineTimer_.startAt(deadline_, [this] { onDeadline(); });
   beginUnlessQuarantined();
 }
 
@@ -186,7 +178,7 @@
   if (done_)
     return;
   done_ = true;
-  exchange_->onDisconnect = nullptr;
+  handlers_.reset();
   deadlineTimer_.cancel();
   progressTimer_.cancel();
   overlapTimer_.cancel();
--- a/src/auburnspring/serving/active_request_attempts.cpp
+++ b/src/auburnspring/serving/active_request_attempts.cpp
@@ -85,17 +85,14 @@
   awaitsPermit_ = true;
   context_->requestLimits->acquire(
       choice.engine, timeLeft(),
-      [weak = weak_from_this(), choice](bool granted, PermitLeasePtr lease) {
-        if (const auto self = weak.lock())
-          self->onPermit(choice, granted, std::move(lease));
-      });
+      handlers_.bind([this, choice](bool granted, PermitLeasePtr lease) {
+        onPermit(choice, granted, std::move(lease));
+      }));
 }
 
 void ActiveRequest::onPermit(const EngineChoice &choice, bool granted,
                              PermitLeasePtr lease) {
   awaitsPermit_ = false;
-  if (done_)
-    return;
   // Its data centre may have been evacuated in the meantime.
   const bool isOpen = !choice.engine->isClosed(steadyNow());
   if (granted && isOpen && timeLeft() >= MinAttemptTime)
@@ -167,10 +164,7 @@
   Attempt *raw = attempt.get();
   events.onHead = [this, raw] { onHead(raw); };
   events.onBody = [this, raw](std::string_view bytes) { onBody(raw, bytes); };
-  events.onEnd = [weak = weak_from_this(), raw] {
-    if (const auto self = weak.lock())
-      self->onAttemptEnd(raw);
-  };
+  events.onEnd = [this, raw] { onAttemptEnd(raw); };
   raw->setEvents(std::move(events));
   raw->meter().setOutputTokens(request_.outputTokens);
   attempts_.push_back(std::move(attempt));
@@ -350,8 +344,6 @@
 }
 
 void ActiveRequest::onAttemptEnd(Attempt *attempt) {
-  if (done_)
-    return;
   recordHealth(attempt);
   noteBroken(*attempt);
   if (!attempt->report().mayHaveBeenSent || attempt->report().isNotRun)
--- a/src/auburnspring/serving/active_request_hedge.cpp
+++ b/src/auburnspring/serving/active_request_hedge.cpp
@@ -29,13 +29,9 @@
       attempts_.back()->upstream().latency * HedgeFactor;
   const Duration maxDelay = std::max(
       MinHedgeDelay, std::min(route_->targetLatency / 2, timeLeft() / 3));
-  progressTimer_.expires_after(
-      std::max(MinHedgeDelay, std::min(maxDelay, usualDelay)));
-  progressTimer_.async_wait([weak = weak_from_this()](asio::error_code error) {
-    const auto self = weak.lock();
-    if (!error && self && !self->done_)
-      self->onHedge();
-  });
+  progressTimer_.startAfter(
+      std::max(MinHedgeDelay, std::min(maxDelay, usualDelay)),
+      [this] { onHedge(); });
 }
 
 void ActiveRequest::onHedge() {
@@ -50,12 +46,8 @@
 void ActiveRequest::armStallTimer() {
   if (!route_->isResumable)
     return;
-  progressTimer_.expires_after(stallTimeout(*route_, streamStarted_));
-  progressTimer_.async_wait([weak = weak_from_this()](asio::error_code error) {
-    const auto self = weak.lock();
-    if (!error && self && !self->done_)
-      self->onStall();
-  });
+  progressTimer_.startAfter(stallTimeout(*route_, streamStarted_),
+                            [this] { onStall(); });
 }
 
 void ActiveRequest::onStall() {
@@ -108,20 +100,11 @@
 }
 
 void ActiveRequest::boundOverlap(Attempt *attempt) {
-  overlapTimer_.expires_after(MaxStreamOverlap);
-  overlapTimer_.async_wait(
-      [weak = weak_from_this(), attempt](asio::error_code error) {
-        const auto self = weak.lock();
-        if (error || !self || self->done_)
-          return;
-        const auto &attempts = self->attempts_;
-        const bool isLive = std::any_of(
-            attempts.begin(), attempts.end(), [attempt](const auto &other) {
-              return other.get() == attempt && !other->hasEnded();
-            });
-        if (isLive)
-          self->keepOnly(attempt);
-      });
+  // keepOnly(), which destroys attempts, stops the timer.
+  overlapTimer_.startAfter(MaxStreamOverlap, [this, attempt] {
+    if (!attempt->hasEnded())
+      keepOnly(attempt);
+  });
 }
 
 void ActiveRequest::keepOnly(Attempt *attempt) {
--- a/src/auburnspring/serving/active_request_parts.cpp
+++ b/src/auburnspring/serving/active_request_parts.cpp
@@ -21,15 +21,12 @@
 void ActiveRequest::requestTrial(const PartQuarantines::Check &check,
                                  void (ActiveRequest::*next)()) {
   context_->partGuard->requestTrial(
-      check.part, [weak = weak_from_this(), check, next](bool granted) {
-        const auto self = weak.lock();
-        if (!self || self->done_)
-          return;
+      check.part, handlers_.bind([this, check, next](bool granted) {
         if (!granted)
-          return self->refuseQuarantined(check);
-        self->isTrial_ = true;
-        (self.get()->*next)();
-      });
+          return refuseQuarantined(check);
+        isTrial_ = true;
+        (this->*next)();
+      }));
 }
 
 void ActiveRequest::refuseQuarantined(const PartQuarantines::Check &check) {
--- a/src/auburnspring/serving/active_request_resume.cpp
+++ b/src/auburnspring/serving/active_request_resume.cpp
@@ -31,14 +31,11 @@
   if (const auto found = context_->streamOrigins->find(id))
     return resumeAt(found->origin, sourceName(found->source));
   context_->streamOrigins->query(
-      id, [weak = weak_from_this()](const std::optional<StreamOrigin> &origin) {
-        const auto self = weak.lock();
-        if (!self || self->done_)
-          return;
+      id, handlers_.bind([this](const std::optional<StreamOrigin> &origin) {
         if (origin)
-          return self->resumeAt(*origin, "query");
-        self->inferOrigin(&ActiveRequest::readOrigin);
-      });
+          return resumeAt(*origin, "query");
+        inferOrigin(&ActiveRequest::readOrigin);
+      }));
 }
 
 std::optional<std::string> ActiveRequest::onlyVersion() const {
@@ -57,17 +54,13 @@
   // The stream may have begun at an upstream that joined after the replica was
   // last confirmed. Its entry is older than this request.
   context_->follower->confirm(
-      [weak = weak_from_this(), otherwise](bool isConfirmed) {
-        const auto self = weak.lock();
-        if (!self || self->done_)
-          return;
-        const auto version = isConfirmed ? self->onlyVersion() : std::nullopt;
+      handlers_.bind([this, otherwise](bool isConfirmed) {
+        const auto version = isConfirmed ? onlyVersion() : std::nullopt;
         if (!version)
-          return ((*self).*otherwise)();
-        self->resumeAt({self->request_.resumedId, self->poolName_, *version, 0,
-                        Duration(0)},
-                       "inferred");
-      });
+          return (this->*otherwise)();
+        resumeAt({request_.resumedId, poolName_, *version, 0, Duration(0)},
+                 "inferred");
+      }));
 }
 
 void ActiveRequest::refuseUnnamedOrigin() { refuseUnknownOrigin(std::nullopt); }
@@ -76,18 +69,15 @@
   using Outcome = StreamOriginStore::Outcome;
   context_->originStore->find(
       request_.resumedId,
-      [weak = weak_from_this()](Outcome outcome,
-                                const std::optional<StreamOrigin> &origin) {
-        const auto self = weak.lock();
-        if (!self || self->done_)
-          return;
-        if (origin)
-          return self->resumeAt(*origin, "store");
-        self->refuseUnknownOrigin(
-            outcome == Outcome::Unread
-                ? std::make_optional(self->jittered(DefaultRetryAfter))
-                : std::nullopt);
-      });
+      handlers_.bind(
+          [this](Outcome outcome, const std::optional<StreamOrigin> &origin) {
+            if (origin)
+              return resumeAt(*origin, "store");
+            refuseUnknownOrigin(
+                outcome == Outcome::Unread
+                    ? std::make_optional(jittered(DefaultRetryAfter))
+                    : std::nullopt);
+          }));
 }
 
 void ActiveRequest::refuseUnknownOrigin(std::optional<Duration> retryAfter) {
--- a/src/auburnspring/serving/active_request_stages.cpp
+++ b/src/auburnspring/serving/active_request_stages.cpp
@@ -64,11 +64,9 @@
     const TimePoint now = steadyNow();
     const std::string pool = plan_.stages()[stage].pool;
     context_->pieceDispatcher->submit(
-        makeJob(stage),
-        [weak = weak_from_this(), pool, now](JobOutcome outcome) {
-          if (const auto self = weak.lock())
-            self->onStageOutcome(std::move(outcome), pool, now);
-        });
+        makeJob(stage), handlers_.bind([this, pool, now](JobOutcome outcome) {
+          onStageOutcome(std::move(outcome), pool, now);
+        }));
   }
   if (!plan_.isDone())
     return;
@@ -184,8 +182,6 @@
 
 void ActiveRequest::onStageOutcome(JobOutcome outcome, const std::string &pool,
                                    TimePoint since) {
-  if (done_)
-    return;
   const TimePoint now = steadyNow();
   context_->metrics.observeStage(pool, now - since);
   context_->stageDurations.observe(pool, now - since, now);
--- a/src/auburnspring/serving/part_guard_exchange.cpp
+++ b/src/auburnspring/serving/part_guard_exchange.cpp
@@ -60,10 +60,7 @@
 void PartGuardExchange::scheduleFlush() {
   if (std::exchange(isFlushScheduled_, true))
     return;
-  timer_.expires_after(FlushDelay);
-  timer_.async_wait([this](asio::error_code error) {
-    if (error)
-      return;
+  timer_.startAfter(FlushDelay, [this] {
     isFlushScheduled_ = false;
     guard_.flush(steadyNow());
     carryOut();
--- a/src/auburnspring/serving/peer_network.cpp
+++ b/src/auburnspring/serving/peer_network.cpp
@@ -68,11 +68,7 @@
             }) {}
 
 void PeerNetwork::post(std::function<void()> action) {
-  asio::post(io_,
-             [alive = std::weak_ptr<bool>(alive_), action = std::move(action)] {
-               if (!alive.expired())
-                 action();
-             });
+  asio::post(io_, handlers_.bind(std::move(action)));
 }
 
 absl::Status PeerNetwork::start() { return mesh_.start(); }
--- a/src/auburnspring/serving/piece_dispatcher.cpp
+++ b/src/auburnspring/serving/piece_dispatcher.cpp
@@ -255,12 +255,9 @@
   const std::optional<TimePoint> wake = poolBatcher->batcher.nextWake(now);
   if (!wake)
     return;
-  poolBatcher->timer.expires_at(*wake);
-  poolBatcher->timer.async_wait(
-      [this, pool = poolBatcher->batcher.pool()](asio::error_code error) {
-        if (!error)
-          dispatchBatches(pool);
-      });
+  poolBatcher->timer.startAt(*wake, [this, pool = poolBatcher->batcher.pool()] {
+    dispatchBatches(pool);
+  });
 }
 
 void PieceDispatcher::updateLimits(const std::string &pool, TimePoint now) {
@@ -283,7 +280,7 @@
 void PieceDispatcher::startBatch(const std::string &pool,
                                  const PieceBatch &batch) {
   const std::uint64_t number = nextBatch_++;
-  BatchCall &call = batches_[number];
+  BatchCall &call = batches_.try_emplace(number, io_, number).first->second;
   call.lease = requestLimits_->takeOwn(batch.upstream, BatchHoldTime);
   call.pool = pool;
   call.items = batch.items.size();
@@ -297,26 +294,15 @@
   options.upstream = batch.upstream->entry.id;
   options.maxBodyBytes = MaxResponseBytes;
   http::ClientCallbacks callbacks;
-  callbacks.onHead = [this, number](const http::ResponseHead &head) {
-    BatchCall &entry = batches_.at(number);
-    const ResponseInfo response = dialect_->parseResponseHead(head);
-    entry.status = head.status;
-    entry.notRun = response.isNotRun;
-    if (entry.lease && response.isRejection())
-      entry.lease->setEnd(PermitEnd::Rejected);
-    if (reach_ != nullptr)
-      reach_->onConnected(entry.upstream.get(), entry.startedAt);
-    applyUpstreamStatements(response, entry.upstream.get(), registry_,
-                            steadyNow());
-    requestLimits_->onResponse(response, entry.upstream, entry.startedAt);
+  callbacks.onHead = [this, &call](const http::ResponseHead &head) {
+    onBatchHead(&call, head);
   };
-  callbacks.onBody = [this, number](std::string_view bytes) {
-    batches_.at(number).body.append(bytes);
+  callbacks.onBody = [&call](std::string_view bytes) {
+    call.body.append(bytes);
   };
-  call.timer = std::make_unique<asio::steady_timer>(io_);
-  callbacks.onEnd = [this, number](http::CallStatus callStatus,
-                                   std::string_view failure) {
-    endBatch(number, callStatus, failure);
+  callbacks.onEnd = [this, &call](http::CallStatus callStatus,
+                                  std::string_view failure) {
+    endBatch(&call, callStatus, failure);
   };
   const BatchLimits *limits = batchLimits_(pool);
   const Duration expected =
@@ -324,13 +310,10 @@
           ? Duration(std::chrono::milliseconds(500))
           : limits->callTime +
                 limits->itemTime * static_cast<std::int64_t>(call.items);
-  call.timer->expires_after(expected * BatchTimeoutFactor);
-  call.timer->async_wait([this, number](asio::error_code error) {
-    if (error)
-      return;
-    const bool isSent = batches_.at(number).call->mayHaveBeenSent();
-    endBatch(number,
-             isSent ? http::CallStatus::Failed : http::CallStatus::NotSent,
+  call.timer.startAfter(expected * BatchTimeoutFactor, [this, &call] {
+    endBatch(&call,
+             call.call->mayHaveBeenSent() ? http::CallStatus::Failed
+                                          : http::CallStatus::NotSent,
              Silent);
   });
   logEvent(LogLevel::Info, "batch_sent",
@@ -347,15 +330,25 @@
   call.call->start(dialect_->batchHead(*batch.upstream, body.size()), body);
 }
 
-void PieceDispatcher::endBatch(std::uint64_t number,
-                               http::CallStatus callStatus,
+void PieceDispatcher::onBatchHead(BatchCall *call,
+                                  const http::ResponseHead &head) {
+  const ResponseInfo response = dialect_->parseResponseHead(head);
+  call->status = head.status;
+  call->notRun = response.isNotRun;
+  if (call->lease && response.isRejection())
+    call->lease->setEnd(PermitEnd::Rejected);
+  if (reach_ != nullptr)
+    reach_->onConnected(call->upstream.get(), call->startedAt);
+  applyUpstreamStatements(response, call->upstream.get(), registry_,
+                          steadyNow());
+  requestLimits_->onResponse(response, call->upstream, call->startedAt);
+}
+
+void PieceDispatcher::endBatch(BatchCall *ended, http::CallStatus callStatus,
                                std::string_view failure) {
-  const auto found = batches_.find(number);
-  if (found == batches_.end())
-    return;
-  BatchCall call = std::move(found->second);
-  batches_.erase(found);
-  call.timer->cancel();
+  const auto node = batches_.extract(ended->number);
+  BatchCall &call = node.mapped();
+  call.timer.cancel();
   if (callStatus == http::CallStatus::NotSent && reach_ != nullptr)
     reach_->onUnreachable(call.upstream.get(), call.startedAt);
   const bool isBroken =
@@ -386,7 +379,7 @@
   if (batchStatus != BatchStatus::Responded || failed > 0)
     logEvent(LogLevel::Warning, "batch_failed",
              {{"pool", call.pool},
-              {"batch", static_cast<unsigned long>(number)},
+              {"batch", static_cast<unsigned long>(call.number)},
               {"upstream", call.upstream->entry.id},
               {"status", call.status},
               {"not_run", batchStatus == BatchStatus::NotRun},
@@ -421,11 +414,9 @@
   if (queuedReleases_.empty() || releaseScheduled_)
     return;
   releaseScheduled_ = true;
-  releaseTimer_.expires_after(ReleaseInterval);
-  releaseTimer_.async_wait([this](asio::error_code error) {
+  releaseTimer_.startAfter(ReleaseInterval, [this] {
     releaseScheduled_ = false;
-    if (!error)
-      flushReleases();
+    flushReleases();
   });
 }
 
@@ -439,8 +430,7 @@
       continue;
     // The results at a closed upstream end by themselves.
     if (upstream->isClosed(steadyNow())) {
-      for (auto &batcher : poolBatchers_)
-        batcher.second->batcher.release(entry.second);
+      noteReleased(entry.second);
       continue;
     }
     // The results wait for a permit; batches that come meanwhile go first.
@@ -450,33 +440,40 @@
       queuedReleases_[entry.first] = std::move(entry.second);
       continue;
     }
-    const std::uint64_t number = nextRelease_++;
-    const auto onReleased = [this, number, results = entry.second] {
-      releases_.erase(number);
-      // Only now is the result memory at the upstream free.
-      for (auto &batcher : poolBatchers_)
-        batcher.second->batcher.release(results);
-    };
-    http::CallOptions options;
-    options.endpoint = *endpoint;
-    options.maxBodyBytes = MaxResponseBytes;
-    ReleaseCall &release = releases_[number];
-    release.timer = std::make_unique<asio::steady_timer>(io_, ReleaseTimeout);
-    release.timer->async_wait([onReleased](asio::error_code error) {
-      if (!error)
-        onReleased();
-    });
-    http::ClientCallbacks callbacks;
-    callbacks.onEnd = [onReleased](http::CallStatus, std::string_view) {
-      onReleased();
-    };
-    release.call = std::make_unique<http::ClientCall>(io_, std::move(options),
-                                                      std::move(callbacks));
-    const std::string body = dialect_->releaseBody(entry.second);
-    release.call->start(dialect_->releaseHead(*endpoint, body.size()), body);
+    startRelease(*endpoint, entry.second);
   }
 }
 
+void PieceDispatcher::startRelease(const Endpoint &endpoint,
+                                   const std::vector<std::string> &results) {
+  const std::uint64_t number = nextRelease_++;
+  ReleaseCall &release = releases_.try_emplace(number, io_).first->second;
+  release.results = results;
+  release.timer.startAfter(ReleaseTimeout,
+                           [this, number] { endRelease(number); });
+  http::CallOptions options;
+  options.endpoint = endpoint;
+  options.maxBodyBytes = MaxResponseBytes;
+  http::ClientCallbacks callbacks;
+  callbacks.onEnd = [this, number](http::CallStatus, std::string_view) {
+    endRelease(number);
+  };
+  release.call = std::make_unique<http::ClientCall>(io_, std::move(options),
+                                                    std::move(callbacks));
+  const std::string body = dialect_->releaseBody(results);
+  release.call->start(dialect_->releaseHead(endpoint, body.size()), body);
+}
+
+void PieceDispatcher::endRelease(std::uint64_t number) {
+  const auto node = releases_.extract(number);
+  noteReleased(node.mapped().results);
+}
+
+void PieceDispatcher::noteReleased(const std::vector<std::string> &results) {
+  for (auto &batcher : poolBatchers_)
+    batcher.second->batcher.release(results);
+}
+
 void PieceDispatcher::probeUnresponsiveHosts(TimePoint now) {
   for (const auto &entry : outstanding_) {
     const std::string &host = entry.second.batchingHost;
--- a/src/auburnspring/serving/reach_exchange.cpp
+++ b/src/auburnspring/serving/reach_exchange.cpp
@@ -4,7 +4,6 @@
 #include "auburnspring/base/log.h"
 
 #include <asio/ip/tcp.hpp>
-#include <asio/steady_timer.hpp>
 
 #include <algorithm>
 #include <iterator>
@@ -31,8 +30,8 @@
 struct Probe {
   explicit Probe(asio::io_context &io) : socket(io), timer(io) {}
   asio::ip::tcp::socket socket;
-  asio::steady_timer timer;
-  bool isEnded = false;
+  http::Timer timer;
+  HandlerScope handlers;
 };
 
 } // namespace
@@ -132,25 +131,21 @@
 void ReachExchange::startProbe(const Endpoint &endpoint,
                                std::function<void(bool)> onEnd) {
   const auto probe = std::make_shared<Probe>(io_);
-  const auto end = [probe, alive = std::weak_ptr<bool>(alive_),
-                    onEnd = std::move(onEnd)](bool isConnected) {
-    if (alive.expired() || std::exchange(probe->isEnded, true))
-      return;
-    asio::error_code ignored;
-    probe->timer.cancel();
-    probe->socket.close(ignored);
-    onEnd(isConnected);
-  };
-  probe->timer.expires_after(ProbeTimeout);
-  probe->timer.async_wait([end](asio::error_code error) {
-    if (!error)
-      end(false);
-  });
+  // The connection or the timer ends the probe, whichever is first.
+  auto end = probe->handlers.bind(
+      handlers_.bind([probe, onEnd = std::move(onEnd)](bool isConnected) {
+        probe->handlers.reset();
+        asio::error_code ignored;
+        probe->timer.cancel();
+        probe->socket.close(ignored);
+        onEnd(isConnected);
+      }));
+  probe->timer.startAfter(ProbeTimeout, [end]() mutable { end(false); });
   asio::error_code error;
   const asio::ip::tcp::endpoint address(
       asio::ip::make_address(endpoint.ip, error), endpoint.port);
   probe->socket.async_connect(
-      address, [end](asio::error_code failure) { end(!failure); });
+      address, [end](asio::error_code failure) mutable { end(!failure); });
 }
 
 void ReachExchange::onHeartbeat(const std::string &from,
--- a/src/auburnspring/serving/request_limit_exchange.cpp
+++ b/src/auburnspring/serving/request_limit_exchange.cpp
@@ -269,18 +269,15 @@
   // Only such permits end with their request.
   if (!upstream->limits.isLimited(StatementKind::RejectionLimit, steadyNow()))
     return nullptr;
-  return std::make_shared<PermitLease>([this,
-                                        isAlive = std::weak_ptr<bool>(isAlive_),
-                                        giver, ended](PermitEnd end) {
-    if (isAlive.expired())
-      return;
-    PermitRelease release = ended;
-    release.end = end;
-    if (giver == peers_->self())
-      onPermitRelease(release);
-    else
-      peers_->send(giver, release);
-  });
+  return std::make_shared<PermitLease>(
+      handlers_.bind([this, giver, ended](PermitEnd end) {
+        PermitRelease release = ended;
+        release.end = end;
+        if (giver == peers_->self())
+          onPermitRelease(release);
+        else
+          peers_->send(giver, release);
+      }));
 }
 
 PermitLeasePtr RequestLimitExchange::takeOwn(const UpstreamStatePtr &upstream,
@@ -300,7 +297,7 @@
                                    Duration holdFor, Handler handler) {
   const TimePoint now = steadyNow();
   const std::uint64_t number = nextNumber_++;
-  Pending &pending = pending_[number];
+  Pending &pending = pending_.try_emplace(number, io_).first->second;
   pending.upstream = upstream;
   pending.handler = std::move(handler);
   pending.giver = peers_->batchingHost(upstream->entry.pool, now);
@@ -316,18 +313,11 @@
   request.statement = request.more.back();
   request.more.pop_back();
   peers_->send(pending.giver, request);
-  pending.timer = std::make_unique<asio::steady_timer>(io_, ReplyTimeout);
-  pending.timer->async_wait([this, number](asio::error_code error) {
-    if (!error)
-      onTimeout(number);
-  });
+  pending.timer.startAfter(ReplyTimeout, [this, number] { onTimeout(number); });
 }
 
 void RequestLimitExchange::onTimeout(std::uint64_t number) {
-  const auto found = pending_.find(number);
-  if (found == pending_.end())
-    return;
-  const Pending &pending = found->second;
+  const Pending &pending = pending_.at(number);
   // The permits must not wait until the store drops a host that has died.
   if (peers_->lastMessageAt(pending.giver).value_or(TimePoint()) <
       pending.askedAt)
@@ -340,8 +330,8 @@
   const auto found = pending_.find(number);
   if (found == pending_.end())
     return;
-  const Pending pending = std::move(found->second);
-  pending_.erase(found);
+  const auto node = pending_.extract(found);
+  const Pending &pending = node.mapped();
   metrics_->countPermit(pending.upstream->entry.pool, reply.granted);
   if (!reply.granted) {
     pending.upstream->limitedUntil = steadyNow() + reply.retryIn;
--- a/src/auburnspring/serving/serving_host.cpp
+++ b/src/auburnspring/serving/serving_host.cpp
@@ -549,7 +549,7 @@
                                ActiveRequest::Source source) {
   auto request = std::make_shared<ActiveRequest>(
       &context_, std::move(exchange), source,
-      [this](ActiveRequest *done) { requests_.erase(done); });
+      handlers_.bind([this](ActiveRequest *done) { requests_.erase(done); }));
   requests_[request.get()] = request;
   request->start();
 }
@@ -635,10 +635,7 @@
 }
 
 void ServingHost::scheduleTick() {
-  tickTimer_.expires_after(TickInterval);
-  tickTimer_.async_wait([this](asio::error_code error) {
-    if (error)
-      return;
+  tickTimer_.startAfter(TickInterval, [this] {
     tick();
     scheduleTick();
   });
--- a/src/auburnspring/serving/store_follower.cpp
+++ b/src/auburnspring/serving/store_follower.cpp
@@ -140,14 +140,14 @@
   ++storeCalls_;
   // The watch that follows brings a first read up to date, however old it is.
   const bool isFirst = replica_.version().revision == 0;
-  store_->readAll(
-      AllKeysPrefix,
-      isFirst ? MetadataStore::ReadMode::MayBeStale
-              : MetadataStore::ReadMode::Current,
-      [this, number = ++readNumber_](const absl::StatusOr<StoreRead> &result) {
-        if (number == readNumber_)
-          onRead(result);
-      });
+  store_->readAll(AllKeysPrefix,
+                  isFirst ? MetadataStore::ReadMode::MayBeStale
+                          : MetadataStore::ReadMode::Current,
+                  handlers_.bind([this, number = ++readNumber_](
+                                     const absl::StatusOr<StoreRead> &result) {
+                    if (number == readNumber_)
+                      onRead(result);
+                  }));
 }
 
 void StoreFollower::onRead(const absl::StatusOr<StoreRead> &result) {
@@ -166,10 +166,7 @@
 }
 
 void StoreFollower::scheduleRead(Duration after) {
-  readTimer_.expires_after(after);
-  readTimer_.async_wait([this](asio::error_code error) {
-    if (error)
-      return;
+  readTimer_.startAfter(after, [this] {
     if (!hasCurrentSnapshot())
       read();
     else if (watching_)
@@ -181,14 +178,14 @@
   ++storeCalls_;
   watchStartedAt_ = steadyNow();
   watchPending_ = true;
-  store_->watch(
-      AllKeysPrefix, watchedRevision(), WatchTimeout,
-      [this, number = ++watchNumber_](const absl::StatusOr<StoreRead> &result) {
-        if (result.ok())
-          publish(applyWatch(*result));
-        if (number == watchNumber_)
-          onWatch(result);
-      });
+  store_->watch(AllKeysPrefix, watchedRevision(), WatchTimeout,
+                handlers_.bind([this, number = ++watchNumber_](
+                                   const absl::StatusOr<StoreRead> &result) {
+                  if (result.ok())
+                    publish(applyWatch(*result));
+                  if (number == watchNumber_)
+                    onWatch(result);
+                }));
 }
 
 StoreUpdate StoreFollower::applyWatch(const StoreRead &read) {
@@ -241,7 +238,7 @@
   ++storeCalls_;
   store_->poll(
       AllKeysPrefix, watchedRevision(),
-      [this](const absl::StatusOr<StoreRead> &result) {
+      handlers_.bind([this](const absl::StatusOr<StoreRead> &result) {
         if (!result.ok())
           return checkReachable();
         const StoreUpdate update = applyWatch(*result);
@@ -253,7 +250,7 @@
              {"changes", static_cast<unsigned long>(update.changes.size())}});
         publish(update);
         restartWatch();
-      });
+      }));
 }
 
 void StoreFollower::confirm(ConfirmHandler handler) {
@@ -265,25 +262,22 @@
 void StoreFollower::startConfirmation() {
   confirming_ = true;
   ++storeCalls_;
-  store_->poll(AllKeysPrefix, watchedRevision(),
-               [this, waiting = std::exchange(confirmations_, {})](
-                   const absl::StatusOr<StoreRead> &result) {
-                 if (result.ok())
-                   publish(applyWatch(*result));
-                 const bool isConfirmed =
-                     result.ok() &&
-                     result->version.era == replica_.version().era;
-                 for (const ConfirmHandler &handler : waiting)
-                   handler(isConfirmed);
-                 confirmTimer_.expires_after(ConfirmInterval);
-                 confirmTimer_.async_wait([this](asio::error_code error) {
-                   if (error)
-                     return;
-                   confirming_ = false;
-                   if (!confirmations_.empty())
-                     startConfirmation();
-                 });
-               });
+  store_->poll(
+      AllKeysPrefix, watchedRevision(),
+      handlers_.bind([this, waiting = std::exchange(confirmations_, {})](
+                         const absl::StatusOr<StoreRead> &result) {
+        if (result.ok())
+          publish(applyWatch(*result));
+        const bool isConfirmed =
+            result.ok() && result->version.era == replica_.version().era;
+        for (const ConfirmHandler &handler : waiting)
+          handler(isConfirmed);
+        confirmTimer_.startAfter(ConfirmInterval, [this] {
+          confirming_ = false;
+          if (!confirmations_.empty())
+            startConfirmation();
+        });
+      }));
 }
 
 Duration StoreFollower::watchInterval() const {
@@ -316,8 +310,8 @@
 
 void StoreFollower::registerHost() {
   ++storeCalls_;
-  store_->createLease(LeaseTtl, [this, registration = ++registration_](
-                                    absl::StatusOr<std::int64_t> lease) {
+  const auto onLease = [this, registration = ++registration_](
+                           const absl::StatusOr<std::int64_t> &lease) {
     if (registration != registration_)
       return;
     if (!lease.ok()) {
@@ -327,43 +321,41 @@
     setReachable(true, "lease");
     lease_ = *lease;
     writeEntry();
-  });
+  };
+  store_->createLease(LeaseTtl, handlers_.bind(onLease));
 }
 
 void StoreFollower::writeEntry() {
   ++storeCalls_;
-  store_->put(options_.hostKey,
-              leaving_ ? options_.leavingValue : options_.hostValue, lease_,
-              [this, leaving = leaving_, registration = registration_](
-                  const absl::StatusOr<std::int64_t> &written) {
-                if (registration != registration_)
-                  return;
-                registered_ = written.ok();
-                if (!written.ok()) {
-                  lease_ = 0;
-                  return scheduleRenewal(jittered(RetryDelay));
-                }
-                // The host may have begun to stop in the meantime.
-                if (leaving != leaving_)
-                  return writeEntry();
-                scheduleRenewal(jittered(RenewInterval));
-              });
+  store_->put(
+      options_.hostKey, leaving_ ? options_.leavingValue : options_.hostValue,
+      lease_,
+      handlers_.bind([this, leaving = leaving_, registration = registration_](
+                         const absl::StatusOr<std::int64_t> &written) {
+        if (registration != registration_)
+          return;
+        registered_ = written.ok();
+        if (!written.ok()) {
+          lease_ = 0;
+          return scheduleRenewal(jittered(RetryDelay));
+        }
+        // The host may have begun to stop in the meantime.
+        if (leaving != leaving_)
+          return writeEntry();
+        scheduleRenewal(jittered(RenewInterval));
+      }));
 }
 
 void StoreFollower::scheduleRenewal(Duration after) {
-  renewTimer_.expires_after(after);
-  renewTimer_.async_wait([this](asio::error_code error) {
-    if (error)
-      return;
-    lease_ == 0 ? registerHost() : renew();
-  });
+  renewTimer_.startAfter(after,
+                         [this] { lease_ == 0 ? registerHost() : renew(); });
 }
 
 void StoreFollower::renew() {
   ++storeCalls_;
   renewalPending_ = true;
-  store_->renewLease(lease_, [this, registration = registration_](
-                                 const absl::StatusOr<Duration> &ttl) {
+  const auto onRenewal = [this, registration = registration_](
+                             const absl::StatusOr<Duration> &ttl) {
     renewalPending_ = false;
     if (registration != registration_)
       return;
@@ -379,7 +371,8 @@
       return scheduleRenewal(jittered(RetryDelay));
     }
     scheduleRenewal(RenewInterval);
-  });
+  };
+  store_->renewLease(lease_, handlers_.bind(onRenewal));
 }
 
 void StoreFollower::announceLeaving() {
--- a/src/auburnspring/serving/stream_origin_exchange.cpp
+++ b/src/auburnspring/serving/stream_origin_exchange.cpp
@@ -60,26 +60,19 @@
   if (asked.empty())
     return handler(std::nullopt);
   const std::uint64_t number = nextQuery_++;
-  Query &query = queries_[number];
+  Query &query = queries_.try_emplace(number, io_).first->second;
   query.id = id;
   query.handler = std::move(handler);
   query.missing.insert(asked.begin(), asked.end());
-  query.timer = std::make_unique<asio::steady_timer>(io_);
   startRound(number);
 }
 
 void StreamOriginExchange::startRound(std::uint64_t number) {
-  const auto found = queries_.find(number);
-  if (found == queries_.end())
-    return;
-  Query &query = found->second;
+  Query &query = queries_.at(number);
   if (query.rounds++ == MaxRounds)
     return finishQuery(number, std::nullopt);
-  query.timer->expires_after(ReplyTimeout / MaxRounds);
-  query.timer->async_wait([this, number](asio::error_code error) {
-    if (!error)
-      startRound(number);
-  });
+  query.timer.startAfter(ReplyTimeout / MaxRounds,
+                         [this, number] { startRound(number); });
   for (const std::string &host : query.missing)
     peers_->send(host, StreamOriginQuery{number, query.id});
 }
--- a/src/auburnspring/serving/stream_origin_store.cpp
+++ b/src/auburnspring/serving/stream_origin_store.cpp
@@ -29,7 +29,8 @@
   ++counters_.reads;
   store_->readAll(
       options_.prefix, MetadataStore::ReadMode::Current,
-      [this](const absl::StatusOr<StoreRead> &result) { onRead(result); });
+      storeCalls_.bind(
+          [this](const absl::StatusOr<StoreRead> &result) { onRead(result); }));
 }
 
 void StreamOriginStore::onRead(const absl::StatusOr<StoreRead> &result) {
@@ -103,31 +104,32 @@
 }
 
 void StreamOriginStore::createLease() {
-  store_->createLease(pages_.startLease(steadyNow()),
-                      [this](const absl::StatusOr<std::int64_t> &lease) {
-                        pages_.onLease(lease.ok() ? std::make_optional(*lease)
-                                                  : std::nullopt,
-                                       steadyNow());
-                        if (lease.ok())
-                          return tick(hosts_);
-                        ++counters_.writesFailed;
-                      });
+  store_->createLease(
+      pages_.startLease(steadyNow()),
+      storeCalls_.bind([this](const absl::StatusOr<std::int64_t> &lease) {
+        pages_.onLease(lease.ok() ? std::make_optional(*lease) : std::nullopt,
+                       steadyNow());
+        if (lease.ok())
+          return tick(hosts_);
+        ++counters_.writesFailed;
+      }));
 }
 
 void StreamOriginStore::writePage() {
   const StreamOriginPages::Page &page = pages_.startPage(steadyNow());
-  store_->put(absl::StrCat(options_.prefix, options_.host, "/",
-                           options_.incarnation, "-", page.number),
-              encodeOriginPage(page.origins), page.lease,
-              [this, origins = page.origins](
-                  const absl::StatusOr<std::int64_t> &written) {
-                if (written.ok()) {
-                  ++counters_.pagesWritten;
-                  counters_.originsWritten += origins.size();
-                  exchange_->onStored(origins);
-                }
-                onWritten(written.status());
-              });
+  store_->put(
+      absl::StrCat(options_.prefix, options_.host, "/", options_.incarnation,
+                   "-", page.number),
+      encodeOriginPage(page.origins), page.lease,
+      storeCalls_.bind([this, origins = page.origins](
+                           const absl::StatusOr<std::int64_t> &written) {
+        if (written.ok()) {
+          ++counters_.pagesWritten;
+          counters_.originsWritten += origins.size();
+          exchange_->onStored(origins);
+        }
+        onWritten(written.status());
+      }));
 }
 
 void StreamOriginStore::onWritten(const absl::Status &status) {
