A stopping host begins what it has time for, and refuses the rest at once

Callers of a host in a planned stop: calls of 6 s, sent 1.2 to 2.4 s after SIGTERM, were passed on and cut at 7 s with 502 or a broken stream (LOST); short ones were refused from 2.5 s on, with time left for them.

Cause: one delay of 2.5 s decided for all routes.

Change: PlannedStop begins a request whose deadline is before the end of the stop, at any time, and, up to 2.5 s after SIGTERM, one that would end in time as 99 of 100 recent requests of its route do (RouteDurations). A route of which nothing is known counts by its deadline. What does not fit is refused at once as not run; its Retry-After stays 50 ms, since other hosts serve it.

--- a/include/auburnspring/serving/active_request.h
+++ b/include/auburnspring/serving/active_request.h
@@ -46,8 +46,14 @@
   /// No attempt is started with less time left than this.
   static constexpr Duration MinAttemptTime = std::chrono::milliseconds(10);
 
+  /// Retry-After of a request that a stopping host has no time for: other hosts
+  /// serve it.
+  static constexpr Duration StoppingRetryAfter = std::chrono::milliseconds(50);
+
   // Arrival.
   bool admit();
+  /// False if the host is stopping, and the request would outlast it.
+  bool hasTimeBeforeStop() const;
   void begin();
   void chooseUpstreamPool();
   void onCallerDisconnected();
--- a/include/auburnspring/serving/serving_context.h
+++ b/include/auburnspring/serving/serving_context.h
@@ -3,8 +3,10 @@
 
 #include "auburnspring/decision/duration_estimator.h"
 #include "auburnspring/decision/engine_speed.h"
+#include "auburnspring/decision/planned_stop.h"
 #include "auburnspring/decision/pool_version_history.h"
 #include "auburnspring/decision/retry_quota.h"
+#include "auburnspring/decision/route_durations.h"
 #include "auburnspring/decision/routing_table.h"
 #include "auburnspring/decision/upstream_registry.h"
 #include "auburnspring/serving/dialect.h"
@@ -60,6 +62,9 @@
   /// Longest timeout that callers of each route have sent. A caller with a
   /// shorter one is taken to be retrying.
   std::unordered_map<std::string, Duration> longestTimeout;
+  RouteDurations routeDurations;
+  /// Set once the host has been asked to stop.
+  std::optional<PlannedStop> stop;
   std::mt19937_64 random;
 };
 
--- a/include/auburnspring/serving/serving_host.h
+++ b/include/auburnspring/serving/serving_host.h
@@ -96,6 +96,9 @@
   void tick();
   void scheduleTick();
   void checkStopped();
+  bool isStopping() const { return context_.stop.has_value(); }
+  /// Time at which requests in progress are ended.
+  TimePoint requestsEndAt(TimePoint stoppingSince) const;
 
   asio::io_context &io_;
   ServingSettings settings_;
@@ -125,10 +128,8 @@
   /// The configuration in force as the operator wrote it, for peers that found
   /// an older one in a store that was restored from a copy.
   std::string configurationText_;
-  bool stopping_ = false;
   bool idleConnectionsClosed_ = false;
   bool deregistered_ = false;
-  TimePoint stoppingSince_;
   /// Of requests that have ended, which may outlive this object.
   HandlerScope handlers_;
 };
--- a/src/auburnspring/serving/active_request.cpp
+++ b/src/auburnspring/serving/active_request.cpp
@@ -85,7 +85,17 @@
   targetTime_ = exchange_->receivedAt + route_->targetLatency - elapsedBefore;
   chooseUpstreamPool();
   pool_ = table_->pool(poolName_);
-  return true;
+  if (hasTimeBeforeStop())
+    return true;
+  refuse(503, "stopping", StoppingRetryAfter);
+  return false;
+}
+
+bool ActiveRequest::hasTimeBeforeStop() const {
+  return !context_->stop ||
+         context_->stop->hasTimeFor(
+             deadline_, context_->routeDurations.bound(route_->name),
+             steadyNow());
 }
 
 void ActiveRequest::chooseUpstreamPool() {
@@ -190,6 +200,9 @@
   const Duration elapsed = now - exchange_->receivedAt;
   const std::string route = route_ == nullptr ? "" : route_->name;
   context_->metrics.countRequest(route, outcome, elapsed);
+  // The deadline cuts a request that takes even longer.
+  if (outcome == "complete" || reason == "deadline")
+    context_->routeDurations.observe(route, elapsed);
   if (isResumption())
     context_->metrics.countResumption(streamStarted_   ? "went_on"
                                       : reason.empty() ? outcome
--- a/src/auburnspring/serving/serving_host.cpp
+++ b/src/auburnspring/serving/serving_host.cpp
@@ -28,17 +28,12 @@
 /// Idle connections stay open this long after SIGTERM, for callers that do not
 /// yet know that the host is stopping.
 constexpr Duration IdleCloseDelay = std::chrono::milliseconds(3500);
-/// Requests that arrive later than this after SIGTERM are refused: they might
-/// not finish in time, and other hosts serve them by then.
-constexpr Duration RefuseDelay = std::chrono::milliseconds(2500);
 /// Requests still in progress are ended this long before the stop timeout.
 constexpr Duration FinalResponseMargin = std::chrono::milliseconds(1000);
 /// The process exits at the latest this long before the stop timeout.
 constexpr Duration ExitMargin = std::chrono::milliseconds(400);
 /// Age of the last confirmation up to which the replica counts as current.
 constexpr Duration MaxConfirmedAge = std::chrono::seconds(3);
-/// Retry-After of a request that a stopping host refuses.
-constexpr Duration StoppingRetryAfter = std::chrono::milliseconds(50);
 
 std::uint64_t randomSeed() {
   std::random_device device;
@@ -417,7 +412,7 @@
 void ServingHost::answerCutPeer(const std::string &from,
                                 const HostHeartbeat &heartbeat) {
   // In a small fleet it receives the heartbeats of all hosts.
-  if (!heartbeat.reach.isCut || reach_.isCut() || stopping_ ||
+  if (!heartbeat.reach.isCut || reach_.isCut() || isStopping() ||
       peers_.peerCount() <= PeerNetwork::HeartbeatFanout)
     return;
   const double share =
@@ -460,7 +455,7 @@
 }
 
 void ServingHost::sendVersionUpdates() {
-  if (!follower_.isWatching() || !follower_.isReachable() || stopping_)
+  if (!follower_.isWatching() || !follower_.isReachable() || isStopping())
     return;
   for (const std::string &host : watcherSelector_.updateRecipients())
     peers_.send(host, StoreVersionUpdate{follower_.replica().version(),
@@ -478,7 +473,7 @@
   heartbeat.storeVersion = follower_.replica().version();
   heartbeat.storeVersionAge = follower_.versionAge();
   heartbeat.storeReachable = follower_.isReachable();
-  heartbeat.isLeaving = stopping_;
+  heartbeat.isLeaving = isStopping();
   heartbeat.configurationVersion = configurationVersion();
   const TimePoint now = steadyNow();
   for (UpstreamStatement &statement :
@@ -504,13 +499,6 @@
 // Callers, readiness probes and metrics.
 
 void ServingHost::onCaller(std::shared_ptr<http::Exchange> exchange) {
-  if (stopping_ && steadyNow() - stoppingSince_ > RefuseDelay) {
-    const std::string id = dialect_->parseCallerRequest(exchange->head).id;
-    logEvent(LogLevel::Info, "request_done",
-             {{"id", id}, {"outcome", "not_run"}, {"reason", "stopping"}});
-    return exchange->respond(dialect_->localReply(503, id, StoppingRetryAfter),
-                             "");
-  }
   startRequest(std::move(exchange), ActiveRequest::Source::Caller);
 }
 
@@ -528,7 +516,7 @@
   exchange->head.headers.remove(ActiveRequest::PeerKeyHeader);
   const std::int64_t handedOver = handedOverCount();
   const auto own = static_cast<std::int64_t>(requests_.size()) - handedOver;
-  if (stopping_ || reach_.isCut() || !mayHelp(own, handedOver)) {
+  if (isStopping() || reach_.isCut() || !mayHelp(own, handedOver)) {
     const std::string id = dialect_->parseCallerRequest(exchange->head).id;
     context_.metrics.countHandOver("refused");
     logEvent(LogLevel::Info, "help_refused",
@@ -555,7 +543,7 @@
 }
 
 bool ServingHost::isReady() const {
-  return !stopping_ && context_.table != nullptr;
+  return !isStopping() && context_.table != nullptr;
 }
 
 void ServingHost::onReadiness(http::Exchange *exchange) {
@@ -681,7 +669,7 @@
   context_.retryQuota.setSharingHosts(peers_.peerCount() + 1);
   follower_.setHostCount(peers_.peerCount() + 1);
   pieceDispatcher_.tick(now);
-  if (stopping_)
+  if (isStopping())
     checkStopped();
 }
 
@@ -713,10 +701,10 @@
 }
 
 void ServingHost::stop() {
-  if (stopping_)
+  if (isStopping())
     return;
-  stopping_ = true;
-  stoppingSince_ = steadyNow();
+  const TimePoint now = steadyNow();
+  context_.stop = PlannedStop{now, requestsEndAt(now)};
   logEvent(LogLevel::Info, "stopping",
            {{"requests", static_cast<unsigned long>(requests_.size())},
             {"connections",
@@ -729,13 +717,18 @@
   callerServer_.drain(IdleCloseDelay);
 }
 
+TimePoint ServingHost::requestsEndAt(TimePoint stoppingSince) const {
+  return stoppingSince + settings_.stopTimeout - FinalResponseMargin;
+}
+
 void ServingHost::checkStopped() {
-  const Duration since = steadyNow() - stoppingSince_;
+  const TimePoint now = steadyNow();
+  const Duration since = now - context_.stop->since;
   if (since >= IdleCloseDelay && !idleConnectionsClosed_) {
     idleConnectionsClosed_ = true;
     callerServer_.close();
   }
-  if (since >= settings_.stopTimeout - FinalResponseMargin) {
+  if (now >= context_.stop->endsAt) {
     std::vector<std::shared_ptr<ActiveRequest>> remaining;
     remaining.reserve(requests_.size());
     for (const auto &request : requests_)
@@ -768,6 +761,8 @@
   settings_.retrySlack = settings.retrySlack;
   settings_.retryWindow = settings.retryWindow;
   settings_.stopTimeout = settings.stopTimeout;
+  if (isStopping())
+    context_.stop->endsAt = requestsEndAt(context_.stop->since);
   context_.retryQuota.setLimits(
       {settings_.retryRatio, settings_.retrySlack, settings_.retryWindow});
   logEvent(LogLevel::Info, "settings_reloaded",
