A call ends with its connection, also after another request's response

A caller whose upstream sent a response with another request's id and no length, then closed the connection, waited for its deadline (504). Cause: such a response ends with the connection and is skipped, and the call went on waiting for another one on the closed connection. Now the end of the connection ends the call whatever was skipped before.

Evidence: "a call ends with its connection after another request's response" failed on the code before with 504 for 502 and passes now.

--- a/src/auburnspring/http/client_call.cpp
+++ b/src/auburnspring/http/client_call.cpp
@@ -136,11 +136,10 @@
       [self = shared_from_this()](asio::error_code error, std::size_t bytes) {
         if (self->ended_)
           return;
-        if (error == asio::error::eof && self->reader_.isInMessage() &&
-            self->reader_.finish().ok())
-          return;
-        if (self->ended_)
-          return;
+        // The end of the connection ends a response without length. If that one
+        // was skipped, no other follows.
+        if (error == asio::error::eof)
+          self->reader_.finish().IgnoreError();
         if (error)
           return self->end(CallStatus::Failed, error.message());
         self->onRead(bytes);
