--- a/soak/fault_injector.cpp
+++ b/soak/fault_injector.cpp
@@ -30,6 +30,8 @@
 /// How long a sound upstream falls silent.
 constexpr Duration MinSilence = std::chrono::milliseconds(800);
 constexpr Duration MaxSilence = std::chrono::milliseconds(1500);
+/// Hosts end a stage call after this multiple of its expected duration.
+constexpr std::int64_t TimedOutSlowness = 8;
 
 } // namespace
 
@@ -89,6 +91,11 @@
       {"large_configurations", &Self::burstOfLargeConfigurations,
        MalformedEntriesFaultSet},
       {"malformed_entry", &Self::malformedEntry, MalformedEntriesFaultSet},
+      {"stage_calls_time_out", &Self::stageUpstreamsMeetTimeouts,
+       StageTimeoutsFaultSet},
+      {"stage_calls_time_out", &Self::stageUpstreamsMeetTimeouts,
+       StageTimeoutsFaultSet},
+      {"pause", &Self::pauseHost, StageTimeoutsFaultSet},
   };
   kinds.erase(
       std::remove_if(kinds.begin(), kinds.end(),
@@ -405,6 +412,21 @@
   });
 }
 
+void FaultInjector::stageUpstreamsMeetTimeouts(Duration span) {
+  std::vector<platform::FakeUpstreamServer *> slow;
+  for (const auto &upstream : cluster_->upstreams())
+    if (upstream->service == "stock")
+      slow.push_back(upstream->server.get());
+  for (platform::FakeUpstreamServer *server : slow) {
+    server->batchTime = SoakCluster::BatchTime * TimedOutSlowness;
+    server->pieceTime = SoakCluster::PieceTime * TimedOutSlowness;
+  }
+  disruptFor("workers", span, [slow] {
+    for (platform::FakeUpstreamServer *server : slow)
+      server->batchTime = server->pieceTime = Duration(0);
+  });
+}
+
 void FaultInjector::releaseUpstream(Duration) {
   SoakUpstream *upstream = randomModelUpstream();
   if (upstream == nullptr)
--- a/soak/fault_injector.h
+++ b/soak/fault_injector.h
@@ -14,7 +14,7 @@
 public:
   /// Kinds of faults that were added together. A seed's sequence depends on the
   /// kinds, so a seed that failed is kept with the set it failed with.
-  static constexpr int LatestFaultSet = 7;
+  static constexpr int LatestFaultSet = 8;
   /// First set with upstreams of several software versions.
   static constexpr int VersionsFaultSet = 3;
   /// From this set on, one prompt part crashes upstreams.
@@ -27,6 +27,10 @@
   /// the upstreams, and configurations are large.
   static constexpr int MalformedEntriesFaultSet = 7;
 
+  /// From this set on, stage upstreams respond as their calls time out, and
+  /// hosts are paused more often.
+  static constexpr int StageTimeoutsFaultSet = 8;
+
   FaultInjector(asio::io_context &io, SoakCluster *cluster,
                 GuaranteeChecker *checker, std::uint64_t seed,
                 int faultSet = LatestFaultSet);
@@ -97,6 +101,7 @@
   void replaceUpstream(Duration span);
   void unlistUpstream(Duration span);
   void upstreamsFallSilent(Duration span);
+  void stageUpstreamsMeetTimeouts(Duration span);
   void releaseUpstream(Duration span);
   void crashUpstream(Duration span);
   void resetCallersOfFirstHost(Duration span);
--- a/soak/soak_cluster.h
+++ b/soak/soak_cluster.h
@@ -54,6 +54,10 @@
 /// a proxy that can inject link faults.
 class SoakCluster {
 public:
+  /// What a stage call takes, per call and per piece, as configured.
+  static constexpr std::chrono::milliseconds BatchTime{20};
+  static constexpr std::chrono::milliseconds PieceTime{1};
+
   SoakCluster(asio::io_context &io, ClusterOptions options,
               GuaranteeChecker *checker);
 
