A peer whose address can't be used is reported as lost

Cause: the mesh could not make a connection of such an address, and dropped the message without a word. Now it reports the host as lost, as it does for one that refuses connections, so that the fetch goes to another host at once; such messages, and those that waited for a connection that failed or was replaced, are counted as dropped and logged.

--- a/include/auburnspring/peer/peer_mesh.h
+++ b/include/auburnspring/peer/peer_mesh.h
@@ -45,8 +45,8 @@
     std::uint64_t messagesReceived = 0;
     std::uint64_t bytesReceived = 0;
     std::uint64_t messagesRejected = 0;
-    /// Messages that were not sent, since they are too large or the connection
-    /// has too many bytes waiting.
+    /// Messages that were not sent, since they are too large, the connection
+    /// has too many bytes waiting, or there is none.
     std::uint64_t messagesDropped = 0;
   };
 
--- a/src/auburnspring/peer/peer_mesh.cpp
+++ b/src/auburnspring/peer/peer_mesh.cpp
@@ -74,6 +74,9 @@
              const std::string &bytes);
   /// Counts and logs a message that isn't sent.
   void drop(const std::string &host, std::size_t bytes, const char *reason);
+  /// Drops what waits for a connection that is given up.
+  void dropQueued(const std::string &host, const OutboundConnection &outbound);
+  void reportLost(const std::string &host);
   void onPayload(const std::string &bytes);
   bool isReplay(const PeerEnvelope &envelope);
 
@@ -165,8 +168,10 @@
   OutboundConnection *outbound = found != connections_.end() && !expired
                                      ? &found->second
                                      : openConnection(host, endpoint);
-  if (outbound == nullptr)
-    return;
+  if (outbound == nullptr) {
+    drop(host, bytes.size(), "no_address");
+    return reportLost(host);
+  }
   outbound->lastUsed = Clock::now();
   if (outbound->open)
     return write(host, outbound, bytes);
@@ -189,6 +194,17 @@
             {"dropped", static_cast<unsigned long>(messagesDropped_)}});
 }
 
+void PeerMesh::Impl::dropQueued(const std::string &host,
+                                const OutboundConnection &outbound) {
+  for (const std::string &bytes : outbound.queuedMessages)
+    drop(host, bytes.size(), "not_connected");
+}
+
+void PeerMesh::Impl::reportLost(const std::string &host) {
+  if (options_.onConnectionLost)
+    options_.onConnectionLost(host);
+}
+
 PeerMesh::Impl::OutboundConnection *
 PeerMesh::Impl::openConnection(const std::string &host,
                                const Endpoint &endpoint) {
@@ -234,6 +250,7 @@
 void PeerMesh::Impl::closeConnection(const std::string &host) {
   const auto found = connections_.find(host);
   const WsClient::connection_ptr connection = found->second.connection;
+  dropQueued(host, found->second);
   connections_.erase(found);
   websocketpp::lib::error_code ignored;
   connection->close(websocketpp::close::status::normal, "", ignored);
@@ -269,9 +286,9 @@
                               const WsClient::connection_ptr &connection) {
   const auto found = connections_.find(host);
   if (found != connections_.end() && found->second.connection == connection) {
+    dropQueued(host, found->second);
     connections_.erase(found);
-    if (options_.onConnectionLost)
-      options_.onConnectionLost(host);
+    reportLost(host);
   }
   // Posted, since the handler that is running owns the connection.
   io_.post([connection] {
@@ -289,8 +306,9 @@
     return drop(host, bytes.size(), "backlog");
   const websocketpp::lib::error_code error =
       outbound->connection->send(bytes, websocketpp::frame::opcode::binary);
+  // The end of the connection is reported by itself.
   if (error)
-    return;
+    return drop(host, bytes.size(), "closing");
   ++messagesSent_;
   bytesSent_ += bytes.size();
 }
--- a/src/auburnspring/peer/peer_mesh_test.cpp
+++ b/src/auburnspring/peer/peer_mesh_test.cpp
@@ -85,3 +85,14 @@
   a->send("nobody", {"127.0.0.1", 1}, BatcherProbe{false});
   events.await("a lost nobody");
 }
+
+// Guards against a wait for a reply from a host whose address can't be used.
+TEST_CASE("a host without a usable address is reported as lost") {
+  EventLog events;
+  Endpoint endpointA;
+  const std::unique_ptr<PeerMesh> a = startMesh("a", &endpointA, &events);
+  REQUIRE(a != nullptr);
+  a->send("nowhere", {"127.0.0.1", 0}, BatcherProbe{false});
+  events.await("a lost nowhere");
+  CHECK(a->counters().messagesDropped == 1);
+}
