Texts of callers that are no UTF-8 are refused at the edge

A request with such a byte in Piece-Key or Attempt-Id ended the host that formed its batch, and, as the job was submitted again, the next one: all their callers lost their requests. Cause: the text went into JSON, whose writer throws on it.

Change: the request is refused with 400 before it is passed on, stored or logged, for its id, piece key, prompt parts and the id of a resumed stream.

--- a/include/auburnspring/serving/dialect.h
+++ b/include/auburnspring/serving/dialect.h
@@ -40,6 +40,8 @@
   /// Id of the request that brought the first event of the stream that this
   /// request resumes; empty if not set.
   std::string resumedId;
+  /// A field that goes into messages is no UTF-8. Such fields are empty here.
+  bool isMalformed = false;
 
   /// The caller has received events of the stream before.
   bool isResumption() const { return lastEventId || !resumedId.empty(); }
--- a/src/auburnspring/serving/active_request.cpp
+++ b/src/auburnspring/serving/active_request.cpp
@@ -48,6 +48,10 @@
 }
 
 bool ActiveRequest::admit() {
+  if (request_.isMalformed) {
+    refuse(400, "not_utf8");
+    return false;
+  }
   if (!table_) {
     refuse(503, "no_configuration", DefaultRetryAfter);
     return false;
