Say which threads may bind to a scope

Comment only: other threads may bind to a scope that is never reset; with a reset beside it they would race for the token. PeerNetwork, the one user from another thread, never resets its scope.

--- a/include/auburnspring/base/handler_scope.h
+++ b/include/auburnspring/base/handler_scope.h
@@ -12,7 +12,8 @@
 /// if it was queued before. So a handler may refer to its object without a
 /// check of its own.
 ///
-/// Handlers run, and the scope ends, on one thread. Any thread may bind.
+/// Handlers run, and the scope is reset and ends, on one thread. Other threads
+/// may bind to a scope that is never reset.
 class HandlerScope {
 public:
   HandlerScope() = default;
