Responses with malformed heads are no answers

Cause: http_parser, built as distributions ship it, tolerates heads that deviate from the grammar. It reads any number of up to three significant digits as a status, a folded line as part of the field before it, lines that end with a bare LF, control characters at the start of a value and any version. A status of 0 then also meant "no head" to the attempt, whose call was complete all the same.

Change: HeadValidator checks each byte of a head against RFC 9112 before the parser gets it. A status has three digits and is between 100 and 599, a line is a field or the end, a name is a token, a line ends with CR LF. All readers of responses share it: calls, hedges, streams, stage calls, releases, the store's answers and requests handed over to peers; so do the servers, where a folded line is refused with 400. Names with blanks or control characters, and lines without a colon, were refused before; tests keep it so. At most 1000 fields are read, since each takes far more memory than a few bytes of a head.

Why this works: what the parser sees is a head of the grammar, in which there is nothing to tolerate. A refused head ends the call as failed before any of it is passed on, so a call that may be repeated goes elsewhere and another is answered 502.

--- a/include/auburnspring/http/message.h
+++ b/include/auburnspring/http/message.h
@@ -7,6 +7,8 @@
 
 namespace auburnspring::http {
 
+enum class MessageKind { Request, Response };
+
 struct Header {
   std::string name;
   std::string value;
--- a/include/auburnspring/http/message_reader.h
+++ b/include/auburnspring/http/message_reader.h
@@ -12,10 +12,9 @@
 
 namespace auburnspring::http {
 
-enum class MessageKind { Request, Response };
-
 /// Incremental parser for a stream of HTTP/1.1 messages. It stops after each
-/// message, so that the owner decides when to parse the next one.
+/// message, so that the owner decides when to parse the next one. A head that
+/// deviates from the grammar is an error; none of it is passed on.
 class MessageReader {
 public:
   struct Callbacks {
--- /dev/null
+++ b/src/auburnspring/http/head_validator.cpp
@@ -0,0 +1,120 @@
+#include "auburnspring/http/head_validator.h"
+
+#include <absl/strings/ascii.h>
+
+namespace auburnspring::http {
+
+namespace {
+
+/// The status line up to the status code: 'd' stands for a digit, 'c' for the
+/// class of a status.
+constexpr std::string_view StatusLine = "HTTP/1.d cdd";
+
+bool isDigit(char c) { return c >= '0' && c <= '9'; }
+
+bool isTokenCharacter(char c) {
+  constexpr std::string_view Punctuation = "!#$%&'*+-.^_`|~";
+  return absl::ascii_isalnum(static_cast<unsigned char>(c)) ||
+         Punctuation.find(c) != std::string_view::npos;
+}
+
+/// Visible characters, also beyond ASCII, blanks and tabs.
+bool isTextCharacter(char c) {
+  const auto byte = static_cast<unsigned char>(c);
+  return c == '\t' || (byte >= ' ' && byte != 0x7f);
+}
+
+} // namespace
+
+HeadValidator::HeadValidator(MessageKind kind) : kind_(kind) { beginHead(); }
+
+void HeadValidator::beginHead() {
+  step_ = &HeadValidator::beforeStartLine;
+  matched_ = 0;
+  isDone_ = false;
+}
+
+void HeadValidator::beginTrailer() {
+  step_ = &HeadValidator::lineStart;
+  isDone_ = false;
+}
+
+absl::StatusOr<std::size_t> HeadValidator::feed(std::string_view bytes) {
+  std::size_t consumed = 0;
+  while (consumed < bytes.size() && !isDone_) {
+    const Step step = step_;
+    if ((this->*step)(bytes[consumed++]))
+      continue;
+    const bool isStartLine = step == &HeadValidator::statusLine ||
+                             step == &HeadValidator::afterStatusCode ||
+                             step == &HeadValidator::beforeStartLine;
+    return absl::InvalidArgumentError(isStartLine ? "malformed status line"
+                                                  : "malformed header line");
+  }
+  return consumed;
+}
+
+bool HeadValidator::beforeStartLine(char c) {
+  if (c == '\r' || c == '\n')
+    return true;
+  step_ = kind_ == MessageKind::Response ? &HeadValidator::statusLine
+                                         : &HeadValidator::requestLine;
+  return (this->*step_)(c);
+}
+
+bool HeadValidator::statusLine(char c) {
+  const char expected = StatusLine[matched_++];
+  if (matched_ == StatusLine.size())
+    step_ = &HeadValidator::afterStatusCode;
+  if (expected == 'd')
+    return isDigit(c);
+  if (expected == 'c')
+    return c >= '1' && c <= '5';
+  return c == expected;
+}
+
+bool HeadValidator::afterStatusCode(char c) {
+  step_ = c == '\r' ? &HeadValidator::lineFeed : &HeadValidator::reasonPhrase;
+  return c == '\r' || c == ' ';
+}
+
+bool HeadValidator::reasonPhrase(char c) {
+  if (c == '\r')
+    step_ = &HeadValidator::lineFeed;
+  return c == '\r' || isTextCharacter(c);
+}
+
+bool HeadValidator::requestLine(char c) {
+  if (c == '\r')
+    step_ = &HeadValidator::lineFeed;
+  return c == '\r' || isTextCharacter(c);
+}
+
+bool HeadValidator::lineStart(char c) {
+  step_ = c == '\r' ? &HeadValidator::finalLineFeed : &HeadValidator::fieldName;
+  return c == '\r' || isTokenCharacter(c);
+}
+
+bool HeadValidator::fieldName(char c) {
+  if (c == ':')
+    step_ = &HeadValidator::fieldValue;
+  return c == ':' || isTokenCharacter(c);
+}
+
+bool HeadValidator::fieldValue(char c) {
+  if (c == '\r')
+    step_ = &HeadValidator::lineFeed;
+  return c == '\r' || isTextCharacter(c);
+}
+
+bool HeadValidator::lineFeed(char c) {
+  step_ = &HeadValidator::lineStart;
+  return c == '\n';
+}
+
+bool HeadValidator::finalLineFeed(char c) {
+  isDone_ = true;
+  return c == '\n';
+}
+
+} // namespace auburnspring::http
--- a/src/auburnspring/http/http_test.cpp
+++ b/src/auburnspring/http/http_test.cpp
@@ -1,6 +1,7 @@
 #include "auburnspring/base/log.h"
 #include "auburnspring/http/client_call.h"
 #include "auburnspring/http/message_reader.h"
+#include "raw_upstream.h"
 #include "server_fixture.h"
 
 #include <asio/connect.hpp>
@@ -15,69 +16,6 @@
 using namespace auburnspring;
 using namespace auburnspring::http;
 
-namespace {
-
-/// An upstream that responds with raw bytes.
-struct RawUpstream {
-  explicit RawUpstream(asio::io_context &io)
-      : acceptor(io, {asio::ip::make_address("127.0.0.1"), 0}), socket(io) {}
-
-  Endpoint endpoint() const {
-    return {"127.0.0.1", acceptor.local_endpoint().port()};
-  }
-
-  /// Responds to the next connection with `bytes`, then closes or resets it.
-  void respondOnce(std::string bytes, bool reset = false) {
-    acceptor.async_accept(socket, [this, bytes, reset](asio::error_code) {
-      socket.async_read_some(
-          asio::buffer(buffer),
-          [this, bytes, reset](asio::error_code, std::size_t) {
-            asio::error_code ignored;
-            asio::write(socket, asio::buffer(bytes), ignored);
-            if (reset)
-              socket.set_option(asio::socket_base::linger(true, 0), ignored);
-            socket.close(ignored);
-          });
-    });
-  }
-
-  Tcp::acceptor acceptor;
-  Tcp::socket socket;
-  std::array<char, 4096> buffer{};
-};
-
-struct CallResult {
-  ResponseHead head;
-  std::string body;
-  std::optional<CallStatus> status;
-};
-
-CallResult callOnce(const std::string &response, bool reset = false,
-                    const std::string &id = "") {
-  asio::io_context io;
-  RawUpstream upstream(io);
-  upstream.respondOnce(response, reset);
-  CallResult result;
-  CallOptions options;
-  options.endpoint = upstream.endpoint();
-  if (!id.empty())
-    options.matchesRequest = [id](const ResponseHead &head) {
-      const std::string *found = head.headers.find("Id");
-      return found != nullptr && *found == id;
-    };
-  ClientCall call(
-      io, options,
-      {[&](ResponseHead head) { result.head = std::move(head); },
-       [&](std::string_view bytes) { result.body.append(bytes); },
-       [&](CallStatus status, std::string_view) { result.status = status; }});
-  call.start({"GET", "/", {}}, "");
-  while (!result.status)
-    io.run_one();
-  return result;
-}
-
-} // namespace
-
 TEST_CASE("the reader stops after each message") {
   int messages = 0;
   MessageReader reader(MessageKind::Request, 1000,
--- a/src/auburnspring/http/message_reader.cpp
+++ b/src/auburnspring/http/message_reader.cpp
@@ -1,10 +1,10 @@
 #include "auburnspring/http/message_reader.h"
 
+#include "auburnspring/http/head_validator.h"
+
 #include <absl/strings/str_cat.h>
 #include <http_parser.h>
 
-#include <algorithm>
-#include <cctype>
 #include <cstdint>
 #include <limits>
 
@@ -12,20 +12,19 @@
 
 namespace {
 
-bool isToken(std::string_view name) {
-  constexpr std::string_view TokenPunctuation = "!#$%&'*+-.^_`|~";
-  return !name.empty() && std::all_of(name.begin(), name.end(), [&](char c) {
-    return std::isalnum(static_cast<unsigned char>(c)) != 0 ||
-           TokenPunctuation.find(c) != std::string_view::npos;
-  });
-}
+/// More header fields than this are an error, however short they are.
+constexpr std::size_t MaxFields = 1000;
 
 } // namespace
 
 struct MessageReader::Impl {
+  explicit Impl(MessageKind kind) : headValidator(kind) {}
+
   http_parser parser{};
   http_parser_settings settings{};
   Callbacks callbacks;
+  // The parser tolerates what this refuses.
+  HeadValidator headValidator;
   std::size_t maxHeadBytes = 0;
   std::size_t headBytes = 0;
   bool headTooLarge = false;
@@ -43,10 +42,16 @@
 
   bool countHeadBytes(std::size_t bytes) {
     headBytes += bytes;
-    headTooLarge = headTooLarge || headBytes > maxHeadBytes;
+    headTooLarge = headTooLarge || headBytes > maxHeadBytes ||
+                   headers.all().size() > MaxFields;
     return !headTooLarge;
   }
 
+  bool isInBody() const { return inMessage && headComplete; }
+  absl::StatusOr<std::size_t> feedHead(std::string_view bytes);
+  absl::StatusOr<std::size_t> feedBody(std::string_view bytes);
+  absl::StatusOr<std::size_t> parse(std::string_view bytes);
+
   static int onMessageBegin(http_parser *parser);
   static int onUrl(http_parser *parser, const char *at, std::size_t length);
   static int onHeaderField(http_parser *parser, const char *at,
@@ -102,11 +107,6 @@
 
 int MessageReader::Impl::onHeadersComplete(http_parser *parser) {
   Impl &self = fromParser(parser);
-  // http_parser accepts some invalid names, such as "Transfer-Encoding ", that
-  // another parser may interpret as framing headers (request smuggling).
-  for (const Header &field : self.headers.all())
-    if (!isToken(field.name))
-      return -1;
   self.headComplete = true;
   // Upgrade requests are declined by continuing in HTTP/1.1.
   parser->upgrade = 0;
@@ -135,7 +135,7 @@
 
 MessageReader::MessageReader(MessageKind kind, std::size_t maxHeadBytes,
                              Callbacks callbacks)
-    : impl_(std::make_unique<Impl>()) {
+    : impl_(std::make_unique<Impl>(kind)) {
   http_parser_init(&impl_->parser,
                    kind == MessageKind::Request ? HTTP_REQUEST : HTTP_RESPONSE);
   impl_->parser.data = impl_.get();
@@ -159,15 +159,51 @@
 
 absl::StatusOr<std::size_t> MessageReader::feed(std::string_view bytes) {
   impl_->messageEnded = false;
-  const std::size_t consumed = http_parser_execute(
-      &impl_->parser, &impl_->settings, bytes.data(), bytes.size());
-  if (impl_->messageEnded) {
-    http_parser_pause(&impl_->parser, 0);
-    if (impl_->callbacks.onMessage)
-      impl_->callbacks.onMessage();
+  std::size_t consumed = 0;
+  if (!impl_->isInBody()) {
+    const absl::StatusOr<std::size_t> headBytes = impl_->feedHead(bytes);
+    if (!headBytes.ok())
+      return headBytes;
+    consumed = *headBytes;
+  }
+  if (impl_->isInBody()) {
+    const absl::StatusOr<std::size_t> bodyBytes =
+        impl_->feedBody(bytes.substr(consumed));
+    if (!bodyBytes.ok())
+      return bodyBytes;
+    consumed += *bodyBytes;
+  }
+  if (impl_->messageEnded && impl_->callbacks.onMessage)
+    impl_->callbacks.onMessage();
+  return consumed;
+}
+
+absl::StatusOr<std::size_t>
+MessageReader::Impl::feedHead(std::string_view bytes) {
+  if (headValidator.isDone())
+    headValidator.beginHead();
+  const absl::StatusOr<std::size_t> headEnd = headValidator.feed(bytes);
+  if (!headEnd.ok())
+    return headEnd;
+  return parse(bytes.substr(0, *headEnd));
+}
+
+absl::StatusOr<std::size_t>
+MessageReader::Impl::feedBody(std::string_view bytes) {
+  return parse(bytes);
+}
+
+absl::StatusOr<std::size_t> MessageReader::Impl::parse(std::string_view bytes) {
+  // The parser takes an empty input for the end of the stream.
+  if (bytes.empty())
+    return 0;
+  const std::size_t consumed =
+      http_parser_execute(&parser, &settings, bytes.data(), bytes.size());
+  if (messageEnded) {
+    http_parser_pause(&parser, 0);
     return consumed;
   }
-  const http_errno error = HTTP_PARSER_ERRNO(&impl_->parser);
+  const http_errno error = HTTP_PARSER_ERRNO(&parser);
   if (error != HPE_OK)
     return absl::InvalidArgumentError(absl::StrCat(
         "malformed HTTP message: ", http_errno_description(error)));
