A response must tell where its body ends

Cause: the parser takes a transfer coding that it doesn't know for none. With "chunkxd", "chunked, gzip" or nothing at all as Transfer-Encoding it read the body up to the end of the connection, with the chunk sizes in it; with "gzip, chunked" it undid one coding of two. The field concerns one connection, so that callers were not told either. A 204 or an interim response could bring a body, and a 304 with the length of another response was waited for.

Change: validateFraming() checks what a head states before the head is passed on: a length in digits or the coding "chunked", once, and neither where the status rules a body out. The reader of requests shares it and refuses such requests with 400; their bodies would have been passed on changed.

Why this works: a body is read only in a framing that the reader knows in full, so that it is whole or the call has failed.

--- a/include/auburnspring/http/head_validator.h
+++ b/include/auburnspring/http/head_validator.h
@@ -54,6 +54,11 @@
   bool isDone_ = false;
 };
 
+/// Checks the framing that a head states: a length in digits or the chunked
+/// transfer coding alone, and neither where the status rules a body out. The
+/// status is 0 for requests. Returns InvalidArgument with the fault found.
+absl::Status validateFraming(int status, const HeaderList &headers);
+
 } // namespace auburnspring::http
 
 #endif
--- a/include/auburnspring/http/message_reader.h
+++ b/include/auburnspring/http/message_reader.h
@@ -13,8 +13,9 @@
 namespace auburnspring::http {
 
 /// Incremental parser for a stream of HTTP/1.1 messages. It stops after each
-/// message, so that the owner decides when to parse the next one. A head that
-/// deviates from the grammar is an error; none of it is passed on.
+/// message, so that the owner decides when to parse the next one. What deviates
+/// from the grammar of heads and chunks is an error, and so is a head that does
+/// not tell where its body ends; none of such a head is passed on.
 class MessageReader {
 public:
   struct Callbacks {
--- a/src/auburnspring/http/head_validator.cpp
+++ b/src/auburnspring/http/head_validator.cpp
@@ -1,6 +1,9 @@
 #include "auburnspring/http/head_validator.h"
 
 #include <absl/strings/ascii.h>
+#include <absl/strings/string_view.h>
+
+#include <algorithm>
 
 namespace auburnspring::http {
 
@@ -24,6 +27,12 @@
   return c == '\t' || (byte >= ' ' && byte != 0x7f);
 }
 
+absl::string_view trim(const std::string &value) {
+  return absl::StripAsciiWhitespace(value);
+}
+
+bool hasNoBody(int status) { return status / 100 == 1 || status == 204; }
+
 } // namespace
 
 HeadValidator::HeadValidator(MessageKind kind) : kind_(kind) { beginHead(); }
@@ -117,4 +126,29 @@
   return c == '\n';
 }
 
+absl::Status validateFraming(int status, const HeaderList &headers) {
+  std::size_t lengths = 0;
+  std::size_t codings = 0;
+  bool isEmpty = true;
+  for (const Header &field : headers.all()) {
+    const absl::string_view value = trim(field.value);
+    if (equalsIgnoringCase(field.name, "Content-Length")) {
+      ++lengths;
+      isEmpty = value == "0";
+      if (value.empty() || !std::all_of(value.begin(), value.end(), isDigit))
+        return absl::InvalidArgumentError("malformed Content-Length");
+    } else if (equalsIgnoringCase(field.name, "Transfer-Encoding")) {
+      ++codings;
+      isEmpty = false;
+      if (!equalsIgnoringCase({value.data(), value.size()}, "chunked"))
+        return absl::InvalidArgumentError("unknown transfer coding");
+    }
+  }
+  if (lengths + codings > 1)
+    return absl::InvalidArgumentError("ambiguous framing");
+  if (hasNoBody(status) && !isEmpty)
+    return absl::InvalidArgumentError("a body where the status allows none");
+  return absl::OkStatus();
+}
+
 } // namespace auburnspring::http
--- a/src/auburnspring/http/malformed_response_test.cpp
+++ b/src/auburnspring/http/malformed_response_test.cpp
@@ -39,6 +39,34 @@
     "A: b\x1f\r\n",        std::string("A: b\0c\r\n", 8),
     "A: b\rc\r\n",         "A: b\n"};
 
+const std::vector<std::string> MalformedFraming = {
+    "Content-Length:\r\n\r\nok",
+    "Content-Length: \r\n\r\nok",
+    "Content-Length: x\r\n\r\nok",
+    "Content-Length: 2x\r\n\r\nok",
+    "Content-Length: x2\r\n\r\nok",
+    "Content-Length: +2\r\n\r\nok",
+    "Content-Length: -2\r\n\r\nok",
+    "Content-Length: 0x2\r\n\r\nok",
+    "Content-Length: 2.0\r\n\r\nok",
+    "Content-Length: 2, 2\r\n\r\nok",
+    "Content-Length: 2 2\r\n\r\nok",
+    "Content-Length: 2\r\nContent-Length: 3\r\n\r\nok",
+    "Content-Length: 99999999999999999999\r\n\r\nok",
+    "Content-Length : 2\r\n\r\nok",
+    "Content Length: 2\r\n\r\nok",
+    "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n" + OneChunk,
+    "Transfer-Encoding:\r\n\r\n" + OneChunk,
+    "Transfer-Encoding: chunkee\r\n\r\n" + OneChunk,
+    "Transfer-Encoding: chunked, x\r\n\r\n" + OneChunk,
+    "Transfer-Encoding: x, chunked\r\n\r\n" + OneChunk,
+    "Transfer-Encoding: gzip\r\n\r\nok",
+    "Transfer-Encoding: identity\r\n\r\nok",
+    "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n" +
+        OneChunk,
+    "Transfer-Encoding: gzip\r\nContent-Length: 2\r\n\r\nok",
+    "Transfer-Encoding: chunked\r\n\rx" + OneChunk};
+
 /// Reads a response one byte at a time; returns the body if it is complete.
 std::optional<std::string> readBytewise(const std::string &response) {
   std::string body;
@@ -82,6 +110,20 @@
   }
 }
 
+TEST_CASE("a response whose head does not tell where its body ends is none") {
+  for (const std::string &framing : MalformedFraming) {
+    checkRefused(Ok + framing);
+    checkRefused(Ok + "A: b\r\n" + framing);
+  }
+}
+
+TEST_CASE("a response with a body where its status allows none is none") {
+  checkRefused("HTTP/1.1 204 No Content\r\n" + Sized);
+  checkRefused("HTTP/1.1 204 No Content\r\nTransfer-Encoding: chunked\r\n\r\n" +
+               OneChunk);
+  checkRefused("HTTP/1.1 100 Continue\r\n" + Sized + Ok + Sized);
+}
+
 TEST_CASE("a damaged response after an interim or another's one is none") {
   const std::string other = Ok + "Id: other\r\nContent-Length: 3\r\n\r\nold";
   const std::string damaged = "HTTP/1.1 000 Broken\r\nId: mine\r\n" + Sized;
@@ -113,6 +155,7 @@
       {Ok + "Content-Length: 0\r\n\r\n", ""},
       {"HTTP/1.1 204 No Content\r\n\r\n", ""},
       {"HTTP/1.1 204 No Content\r\nContent-Length: 0\r\n\r\n", ""},
+      {"HTTP/1.1 304 Not Modified\r\nContent-Length: 2\r\n\r\n", ""},
       {Ok + "\r\nok", "ok"}};
   for (const auto &response : responses) {
     INFO(response.first);
--- a/src/auburnspring/http/message_reader.cpp
+++ b/src/auburnspring/http/message_reader.cpp
@@ -12,6 +12,8 @@
 
 namespace {
 
+/// Tells http_parser that no body follows the head.
+constexpr int SkipBody = 1;
 /// More header fields than this are an error, however short they are.
 constexpr std::size_t MaxFields = 1000;
 
@@ -25,6 +27,7 @@
   Callbacks callbacks;
   // The parser tolerates what this refuses.
   HeadValidator headValidator;
+  absl::Status framing;
   std::size_t maxHeadBytes = 0;
   std::size_t headBytes = 0;
   bool headTooLarge = false;
@@ -107,13 +110,18 @@
 
 int MessageReader::Impl::onHeadersComplete(http_parser *parser) {
   Impl &self = fromParser(parser);
+  const int status = parser->type == HTTP_RESPONSE ? parser->status_code : 0;
+  self.framing = validateFraming(status, self.headers);
+  if (!self.framing.ok())
+    return -1;
   self.headComplete = true;
   // Upgrade requests are declined by continuing in HTTP/1.1.
   parser->upgrade = 0;
   self.keepAlive = http_should_keep_alive(parser) != 0;
   if (self.callbacks.onHead)
     self.callbacks.onHead();
-  return 0;
+  // A length of this status is that of another response.
+  return status == HTTP_STATUS_NOT_MODIFIED ? SkipBody : 0;
 }
 
 int MessageReader::Impl::onBody(http_parser *parser, const char *at,
@@ -203,6 +211,8 @@
     http_parser_pause(&parser, 0);
     return consumed;
   }
+  if (!framing.ok())
+    return framing;
   const http_errno error = HTTP_PARSER_ERRNO(&parser);
   if (error != HPE_OK)
     return absl::InvalidArgumentError(absl::StrCat(
