Damaged chunks are no part of a response

What callers saw: nothing that was reported.

Cause: the parser skips the two bytes after a chunk's size and the two after its data without reading them, and takes any text after a size for an extension. If a size was damaged, bytes of the body could be taken for the delimiter and the rest for the next chunk, and a body with bytes missing was complete.

Change: ChunkValidator checks sizes, delimiters and trailer as they come; data is passed over in blocks.

Evidence: "a chunked body with damaged framing is not complete" failed on the code before for five of its 14 bodies and passes now; http_test passes, 48 cases, each response also read one byte at a time.

--- a/src/auburnspring/http/malformed_response_test.cpp
+++ b/src/auburnspring/http/malformed_response_test.cpp
@@ -67,6 +67,23 @@
     "Transfer-Encoding: gzip\r\nContent-Length: 2\r\n\r\nok",
     "Transfer-Encoding: chunked\r\n\rx" + OneChunk};
 
+/// Chunked bodies of two bytes whose framing is damaged.
+const std::vector<std::string> MalformedChunks = {
+    "2\r\nokXY0\r\n\r\n",
+    "2\r\nok\r\r0\r\n\r\n",
+    "2\rXok\r\n0\r\n\r\n",
+    "2\nok\r\n0\r\n\r\n",
+    "-2\r\nok\r\n0\r\n\r\n",
+    "\r\nok\r\n0\r\n\r\n",
+    "x\r\nok\r\n0\r\n\r\n",
+    "2x\r\nok\r\n0\r\n\r\n",
+    "1\r\nok\r\n0\r\n\r\n",
+    "3\r\nok\r\n0\r\n\r\n",
+    "fffffffffffffffff\r\nok\r\n0\r\n\r\n",
+    "2\r\nok\r\n0\r\nno field\r\n\r\n",
+    "2\r\nok\r\n0\r\nA B: c\r\n\r\n",
+    "2\r\nok\r\n0\r\nA: b\r\n folded\r\n\r\n"};
+
 /// Reads a response one byte at a time; returns the body if it is complete.
 std::optional<std::string> readBytewise(const std::string &response) {
   std::string body;
@@ -124,6 +141,14 @@
   checkRefused("HTTP/1.1 100 Continue\r\n" + Sized + Ok + Sized);
 }
 
+TEST_CASE("a chunked body with damaged framing is not complete") {
+  for (const std::string &chunks : MalformedChunks) {
+    INFO(chunks);
+    CHECK(callOnce(ChunkedOk + chunks).status == CallStatus::Failed);
+    CHECK_FALSE(readBytewise(ChunkedOk + chunks));
+  }
+}
+
 TEST_CASE("a damaged response after an interim or another's one is none") {
   const std::string other = Ok + "Id: other\r\nContent-Length: 3\r\n\r\nold";
   const std::string damaged = "HTTP/1.1 000 Broken\r\nId: mine\r\n" + Sized;
--- a/src/auburnspring/http/message_reader.cpp
+++ b/src/auburnspring/http/message_reader.cpp
@@ -1,6 +1,7 @@
 #include "auburnspring/http/message_reader.h"
 
 #include "auburnspring/http/head_validator.h"
+#include "chunk_validator.h"
 
 #include <absl/strings/str_cat.h>
 #include <http_parser.h>
@@ -25,8 +26,9 @@
   http_parser parser{};
   http_parser_settings settings{};
   Callbacks callbacks;
-  // The parser tolerates what this refuses.
+  // The parser tolerates what these refuse.
   HeadValidator headValidator;
+  ChunkValidator chunkValidator;
   absl::Status framing;
   std::size_t maxHeadBytes = 0;
   std::size_t headBytes = 0;
@@ -118,6 +120,7 @@
   // Upgrade requests are declined by continuing in HTTP/1.1.
   parser->upgrade = 0;
   self.keepAlive = http_should_keep_alive(parser) != 0;
+  self.chunkValidator.begin();
   if (self.callbacks.onHead)
     self.callbacks.onHead();
   // A length of this status is that of another response.
@@ -198,6 +201,11 @@
 
 absl::StatusOr<std::size_t>
 MessageReader::Impl::feedBody(std::string_view bytes) {
+  if ((parser.flags & F_CHUNKED) != 0) {
+    const absl::Status chunks = chunkValidator.feed(bytes);
+    if (!chunks.ok())
+      return chunks;
+  }
   return parse(bytes);
 }
 
