POCO's client takes no malformed heads either

Cause: POCO skips lines that are no field, reads "0200" and "HTTP/9" as it finds them, and takes a transfer coding that it doesn't know for none.

Change: StrictResponse reads the head through HeadValidator and validateFraming(), as the event loop's calls do, before POCO parses it. The session calls it in place of POCO's own read(), so that every call goes through it.

--- a/src/auburnspring/store/http_call.cpp
+++ b/src/auburnspring/store/http_call.cpp
@@ -1,9 +1,10 @@
 #include "auburnspring/store/http_call.h"
 
+#include "auburnspring/store/strict_response.h"
+
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPClientSession.h>
 #include <Poco/Net/HTTPRequest.h>
-#include <Poco/Net/HTTPResponse.h>
 #include <Poco/Net/StreamSocket.h>
 #include <Poco/Timespan.h>
 #include <absl/strings/str_cat.h>
@@ -20,7 +21,7 @@
 }
 
 // Reads to the end of the stream and compares the size with Content-Length,
-// since a lost connection also ends the stream without an error.
+// since a connection that closes early also ends the stream without an error.
 absl::StatusOr<std::string> readBody(std::istream &stream,
                                      const Poco::Net::HTTPResponse &response,
                                      std::size_t maxBytes) {
@@ -51,7 +52,7 @@
   request.setContentLength(static_cast<std::streamsize>(call.body.size()));
   request.setKeepAlive(false);
   session->sendRequest(request) << call.body << std::flush;
-  Poco::Net::HTTPResponse response;
+  StrictResponse response;
   std::istream &stream = session->receiveResponse(response);
   absl::StatusOr<std::string> body =
       readBody(stream, response, call.maxResponseBytes);
--- a/src/auburnspring/store/store_test.cpp
+++ b/src/auburnspring/store/store_test.cpp
@@ -95,6 +95,29 @@
   CHECK_FALSE(wasNotSent(response.status()));
 }
 
+// Guards against a damaged response that is used as an answer (MIXED).
+TEST_CASE("a response with a malformed head is an error") {
+  const std::string ok = "HTTP/1.1 200 OK\r\n";
+  const std::string sized = "Content-Length: 2\r\n\r\n{}";
+  const std::string chunks = "2\r\n{}\r\n0\r\n\r\n";
+  for (const std::string &malformed :
+       {"HTTP/1.1 000 OK\r\n" + sized, "HTTP/1.1 0200 OK\r\n" + sized,
+        "HTTP/9 200 OK\r\n" + sized, ok + "no field\r\n" + sized,
+        ok + " folded\r\n" + sized, ok + "A: b\r\n folded\r\n" + sized,
+        ok + "A B: c\r\n" + sized, ok + "A\x01: c\r\n" + sized,
+        ok + "Content-Length:\r\n\r\n{}", ok + "Content-Length: 2x\r\n\r\n{}",
+        ok + "Transfer-Encoding: chunkxd\r\n\r\n" + chunks,
+        ok + "Transfer-Encoding: gzip, chunked\r\n\r\n" + chunks}) {
+    INFO(malformed);
+    FixedResponseServer server(malformed);
+    const auto response = callHttp(server.endpoint(), post("x"));
+    REQUIRE_FALSE(response.ok());
+    CHECK_FALSE(wasNotSent(response.status()));
+  }
+  FixedResponseServer server(ok + "A: b\r\n" + sized);
+  CHECK(callHttp(server.endpoint(), post("x")).ok());
+}
+
 TEST_CASE("a write whose response is lost is reported as unknown") {
   FixedResponseServer server("");
   EtcdStore store(server.endpoint());
--- a/src/auburnspring/upstream/attempt_runner.cpp
+++ b/src/auburnspring/upstream/attempt_runner.cpp
@@ -2,12 +2,12 @@
 
 #include "attempt_sockets.h"
 #include "auburnspring/base/log.h"
+#include "auburnspring/store/strict_response.h"
 #include "auburnspring/upstream/upstream_protocol.h"
 
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPClientSession.h>
 #include <Poco/Net/HTTPRequest.h>
-#include <Poco/Net/HTTPResponse.h>
 #include <Poco/Net/StreamSocket.h>
 #include <Poco/Runnable.h>
 #include <Poco/ThreadPool.h>
@@ -107,7 +107,7 @@
     request.setContentLength(static_cast<std::streamsize>(body.size()));
     request.setKeepAlive(false);
     session.sendRequest(request) << body << std::flush;
-    Poco::Net::HTTPResponse response;
+    StrictResponse response;
     std::istream &responseBody = session.receiveResponse(response);
     if (isStream && response.getStatus() == Ok)
       return readStream(responseBody);
--- a/src/auburnspring/upstream/attempt_runner_test.cpp
+++ b/src/auburnspring/upstream/attempt_runner_test.cpp
@@ -88,19 +88,20 @@
   return event;
 }
 
-/// Sends a response without length or chunks, then closes or resets the
-/// connection, and returns how the attempt ended.
-Event runAgainstUnframed(
-    StageKind kind, const std::function<std::string(const AttemptId &)> &body,
-    bool resets) {
+/// Makes the body of a response to an attempt.
+using MakeBody = std::function<std::string(const AttemptId &)>;
+
+/// Sends a response with this head, then closes or resets the connection, and
+/// returns how the attempt ended.
+Event runAgainst(StageKind kind, const std::string &head, const MakeBody &body,
+                 bool resets) {
   Poco::Net::ServerSocket server(Poco::Net::SocketAddress("127.0.0.1", 0));
   const StartAttempt start = attemptAt(server.address().port(), kind, Deadline);
   std::thread upstream([&] {
     Poco::Net::StreamSocket socket = server.acceptConnection();
     char buffer[4096];
     socket.receiveBytes(buffer, sizeof buffer);
-    send(&socket,
-         "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + body(start.attempt));
+    send(&socket, head + "\r\n" + body(start.attempt));
     std::this_thread::sleep_for(std::chrono::milliseconds(50));
     if (resets) {
       socket.setLinger(true, 0);
@@ -115,34 +116,59 @@
   return event;
 }
 
+/// The head has neither a length nor chunks.
+Event runAgainstUnframed(StageKind kind, const MakeBody &body, bool resets) {
+  return runAgainst(kind, "HTTP/1.1 200 OK\r\nConnection: close\r\n", body,
+                    resets);
+}
+
+std::string callBody(const AttemptId &id) {
+  return fmt::format("{{\"attempt\":\"{}\",\"result\":\"r\"}}", toString(id));
+}
+
+std::string streamBody(const AttemptId &id) {
+  return completionEvent(id, 0, "abc", "null") +
+         completionEvent(id, 3, "", "\"stop\"");
+}
+
+bool isSuccess(const Event &event) {
+  return std::holds_alternative<AttemptSucceeded>(event);
+}
+
 } // namespace
 
 // Guards against responses that end early and look complete (MIXED, ORDER).
 TEST_CASE("a response without length is complete only at an orderly end") {
-  const auto call = [](const AttemptId &id) {
-    return fmt::format("{{\"attempt\":\"{}\",\"result\":\"r\"}}", toString(id));
-  };
-  const auto stream = [](const AttemptId &id) {
-    return completionEvent(id, 0, "abc", "null") +
-           completionEvent(id, 3, "", "\"stop\"");
-  };
-  const auto within = [&](const AttemptId &id) {
-    const std::string whole = stream(id);
+  const auto within = [](const AttemptId &id) {
+    const std::string whole = streamBody(id);
     return whole.substr(0, whole.size() - 1);
   };
-  const auto isSuccess = [](const Event &event) {
-    return std::holds_alternative<AttemptSucceeded>(event);
-  };
-  CHECK(isSuccess(runAgainstUnframed(StageKind::Call, call, false)));
-  CHECK_FALSE(isSuccess(runAgainstUnframed(StageKind::Call, call, true)));
+  CHECK(isSuccess(runAgainstUnframed(StageKind::Call, callBody, false)));
+  CHECK_FALSE(isSuccess(runAgainstUnframed(StageKind::Call, callBody, true)));
   CHECK_FALSE(isSuccess(runAgainstUnframed(
       StageKind::Call,
-      [&](const AttemptId &id) { return call(id).substr(0, 9); }, false)));
-  CHECK(isSuccess(runAgainstUnframed(StageKind::Generate, stream, false)));
+      [](const AttemptId &id) { return callBody(id).substr(0, 9); }, false)));
+  CHECK(isSuccess(runAgainstUnframed(StageKind::Generate, streamBody, false)));
   CHECK_FALSE(
       isSuccess(runAgainstUnframed(StageKind::Generate, within, false)));
 }
 
+// Guards against a damaged response that is used as an answer (MIXED).
+TEST_CASE("a response with a malformed head is no success") {
+  const std::string ok = "HTTP/1.1 200 OK\r\n";
+  for (const std::string &head :
+       {std::string("HTTP/1.1 0200 OK\r\n"), std::string("HTTP/9 200 OK\r\n"),
+        ok + "no field\r\n", ok + "A: b\r\n folded\r\n", ok + "A B: c\r\n",
+        ok + "A\x01: c\r\n", ok + "Content-Length:\r\n",
+        ok + "Transfer-Encoding: chunkxd\r\n"})
+    for (const bool isStream : {false, true}) {
+      INFO(head);
+      CHECK_FALSE(
+          isSuccess(runAgainst(isStream ? StageKind::Generate : StageKind::Call,
+                               head, isStream ? streamBody : callBody, false)));
+    }
+}
+
 // Guards against a sound upstream's response that is dropped because it is
 // silent for more than a second.
 TEST_CASE("an attempt outlasts its upstream's silence in mid-stream") {
