A call to the store is not whole if its connection is reset

Cause: callHttp() compared a body with its length alone.

Change: a stream that fails is an error there too.

--- a/src/auburnspring/store/http_call.cpp
+++ b/src/auburnspring/store/http_call.cpp
@@ -36,7 +36,8 @@
   const bool isTruncated =
       contentLength != Poco::Net::HTTPMessage::UNKNOWN_CONTENT_LENGTH &&
       static_cast<std::streamsize>(body.size()) != contentLength;
-  if (isTruncated)
+  // A body without a length may end with its connection, but not by a reset.
+  if (isTruncated || stream.bad())
     return absl::DataLossError("the response was truncated");
   return body;
 }
--- a/src/auburnspring/store/store_test.cpp
+++ b/src/auburnspring/store/store_test.cpp
@@ -118,6 +118,27 @@
   CHECK(callHttp(server.endpoint(), post("x")).ok());
 }
 
+// Guards against a part of a body that is taken for the whole one (MIXED).
+TEST_CASE("a response without length is whole only at an orderly end") {
+  const bool resets = GENERATE(false, true);
+  Poco::Net::ServerSocket server(Poco::Net::SocketAddress("127.0.0.1", 0));
+  std::thread responder([&] {
+    Poco::Net::StreamSocket peer = server.acceptConnection();
+    char buffer[4096];
+    peer.receiveBytes(buffer, sizeof buffer);
+    const std::string part = "HTTP/1.1 200 OK\r\n\r\n{}";
+    peer.sendBytes(part.data(), static_cast<int>(part.size()));
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    if (resets)
+      peer.setLinger(true, 0);
+    peer.close();
+  });
+  const auto response =
+      callHttp({"127.0.0.1", server.address().port()}, post("x"));
+  responder.join();
+  CHECK(response.ok() == !resets);
+}
+
 TEST_CASE("a write whose response is lost is reported as unknown") {
   FixedResponseServer server("");
   EtcdStore store(server.endpoint());
