A response without length is not whole if the upload was reset

What callers saw: an upstream answered a long request at once with a 200 that had no length, sent a part of its body and reset the connection while the request was still being written. Callers got that part as a complete response (MIXED).

Cause: the kernel reports a reset once, to whichever call comes first. If that was the write of the request, the read found an orderly end, which ends a body without length; its handler often ran before that of the write.

Change: such an end counts only once the request has been written. If the write fails, so does the call; if the upstream has closed its side alone and reads on, the call is complete when the write is. Responses that state their length are complete at once, as before.

--- a/src/auburnspring/http/client_call.cpp
+++ b/src/auburnspring/http/client_call.cpp
@@ -57,6 +57,8 @@
   void onConnected();
   void read();
   void onRead(std::size_t bytes);
+  /// The upstream has closed the connection, as far as the read could see.
+  void onEndOfStream();
   void onHead();
   void onBody(std::string_view bytes);
   void onMessage();
@@ -73,6 +75,11 @@
   std::string outgoing_;
   std::array<char, 16 << 10> buffer_{};
   bool mayHaveBeenSent_ = false;
+  /// True until the whole request has been written.
+  bool isWriting_ = false;
+  /// True if the response ends with the connection and the write has to show
+  /// whether that was orderly.
+  bool awaitsWrite_ = false;
   std::size_t headBytes_ = 0;
   std::size_t bodyBytes_ = 0;
   std::size_t skippedBytes_ = 0;
@@ -118,15 +125,21 @@
 void ClientCall::Impl::onConnected() {
   timer_.cancel();
   mayHaveBeenSent_ = true;
+  isWriting_ = true;
   read();
   asio::async_write(
       socket_, asio::buffer(outgoing_),
       [self = shared_from_this()](asio::error_code error, std::size_t written) {
-        if (self->ended_ || !error)
+        if (self->ended_)
           return;
+        self->isWriting_ = false;
         // If the kernel accepted no bytes, none were sent.
-        self->end(written == 0 ? CallStatus::NotSent : CallStatus::Failed,
-                  error.message());
+        if (error)
+          return self->end(written == 0 ? CallStatus::NotSent
+                                        : CallStatus::Failed,
+                           error.message());
+        if (self->awaitsWrite_)
+          self->onEndOfStream();
       });
 }
 
@@ -136,16 +149,28 @@
       [self = shared_from_this()](asio::error_code error, std::size_t bytes) {
         if (self->ended_)
           return;
-        // The end of the connection ends a response without length. If that one
-        // was skipped, no other follows.
         if (error == asio::error::eof)
-          self->reader_.finish().IgnoreError();
+          return self->onEndOfStream();
         if (error)
           return self->end(CallStatus::Failed, error.message());
         self->onRead(bytes);
       });
 }
 
+void ClientCall::Impl::onEndOfStream() {
+  // The kernel reports a reset once. If a write took the report, a read finds
+  // the same as at an orderly end.
+  awaitsWrite_ = isWriting_ && reader_.isInMessage() &&
+                 reader_.isCloseDelimited() && !skippingResponse_;
+  if (awaitsWrite_)
+    return;
+  // This ends a response without length. If that one was skipped, no other
+  // follows.
+  reader_.finish().IgnoreError();
+  if (!ended_)
+    end(CallStatus::Failed, "End of file");
+}
+
 void ClientCall::Impl::onRead(std::size_t bytes) {
   std::string_view remaining(buffer_.data(), bytes);
   while (!remaining.empty() && !ended_) {
--- a/src/auburnspring/store/store_test.cpp
+++ b/src/auburnspring/store/store_test.cpp
@@ -9,6 +9,7 @@
 #include <atomic>
 #include <string>
 #include <thread>
+#include <vector>
 
 using namespace auburnspring;
 
@@ -139,6 +140,32 @@
   CHECK(response.ok() == !resets);
 }
 
+// Guards against a part of a body that is taken for the whole one, since the
+// write of the request met the reset first (MIXED).
+TEST_CASE("a response without length is not whole if the upload is reset") {
+  for (int blocks = 0; blocks < 40; ++blocks) {
+    Poco::Net::ServerSocket server(Poco::Net::SocketAddress("127.0.0.1", 0));
+    std::thread responder([&] {
+      Poco::Net::StreamSocket peer = server.acceptConnection();
+      std::vector<char> buffer(64 << 10);
+      const auto read = [&] {
+        peer.receiveBytes(buffer.data(), static_cast<int>(buffer.size()));
+      };
+      read();
+      const std::string part = "HTTP/1.1 200 OK\r\n\r\n{}";
+      peer.sendBytes(part.data(), static_cast<int>(part.size()));
+      for (int i = 0; i < blocks; ++i)
+        read();
+      peer.setLinger(true, 0);
+      peer.close();
+    });
+    const auto response = callHttp({"127.0.0.1", server.address().port()},
+                                   post(std::string(16 << 20, 'u')));
+    responder.join();
+    CHECK_FALSE(response.ok());
+  }
+}
+
 TEST_CASE("a write whose response is lost is reported as unknown") {
   FixedResponseServer server("");
   EtcdStore store(server.endpoint());
