Responses without end share one budget of memory

What callers saw, as operators of other systems report: a faulty upstream sent bytes that were no answer, without end, and the machine that had called it kept them, ran out of memory and ended the requests of other clients with it (LOST).

Cause: each response was bounded, all of them together were not. 60 calls at two such upstreams held up to 8 MB each before the first was ended.

Change: ResponseBudget bounds what the bodies of calls and batches and the unfinished events of streams hold at a host, 32 MB. A response may hold as much as is left beside all, so that those without end bound each other early and a small one always passes. One that wants more is ended as one without end, in=budget; the body of an ended call is freed at once. The state response_bytes_held shows the sum.

Ruled out: heads, of which a call keeps 64 KB and 1000 fields (60 calls grew by 6.2 MB without the limit on fields, by 1.4 MB with it), and events (5.4 MB).

--- a/include/auburnspring/serving/attempt.h
+++ b/include/auburnspring/serving/attempt.h
@@ -8,6 +8,7 @@
 #include "auburnspring/serving/dialect.h"
 #include "auburnspring/serving/event_splitter.h"
 #include "auburnspring/serving/permit_lease.h"
+#include "auburnspring/serving/response_share.h"
 #include "auburnspring/serving/stream_meter.h"
 
 #include <functional>
@@ -42,7 +43,8 @@
   };
 
   Attempt(asio::io_context &io, const Dialect *dialect,
-          UpstreamStatePtr upstream, AttemptTokens tokens);
+          UpstreamStatePtr upstream, AttemptTokens tokens,
+          ResponseBudget *budget);
   ~Attempt();
   Attempt(const Attempt &) = delete;
   Attempt &operator=(const Attempt &) = delete;
@@ -52,7 +54,7 @@
   void setLease(PermitLeasePtr lease) { lease_ = std::move(lease); }
   void start(const http::RequestHead &head, std::string_view body,
              const std::string &requestId, TimePoint now);
-  /// Closes the connection; no further event follows.
+  /// Closes the connection and discards the body; no further event follows.
   void cancel();
   /// Ends the attempt as failed, since `part` of the response has no end within
   /// `bytes`.
@@ -80,9 +82,14 @@
   bool hasHead() const { return head_.status != 0; }
   const http::ResponseHead &head() const { return head_; }
   const ResponseInfo &responseInfo() const { return responseInfo_; }
-  std::string &body() { return body_; }
-  /// Splits the body of a stream.
-  EventSplitter &splitter() { return splitter_; }
+  const std::string &body() const { return body_; }
+  /// Appends to the body of a call's response. Returns false, and appends
+  /// nothing, if the host has no room for it.
+  bool appendBody(std::string_view bytes);
+  /// Appends to the body of a stream and adds the events that this completes
+  /// to `events`. Returns false if the host has no room for what is left.
+  bool splitEvents(std::string_view bytes, std::vector<StreamEvent> *events);
+  const EventSplitter &splitter() const { return splitter_; }
   StreamMeter &meter() { return meter_; }
   StreamPace &pace() { return pace_; }
   TimePoint startedAt() const { return startedAt_; }
@@ -97,6 +104,8 @@
 private:
   /// Removes this attempt from the load of the upstream.
   void releaseLoad();
+  /// Frees a body that is of no use any more.
+  void discardBody();
 
   const Dialect *dialect_;
   UpstreamStatePtr upstream_;
@@ -105,6 +114,8 @@
   Events events_;
   http::ResponseHead head_;
   ResponseInfo responseInfo_;
+  /// Counts what body_ and splitter_ hold.
+  ResponseShare share_;
   std::string body_;
   EventSplitter splitter_;
   StreamMeter meter_;
--- a/include/auburnspring/serving/event_splitter.h
+++ b/include/auburnspring/serving/event_splitter.h
@@ -28,6 +28,8 @@
 
   /// True if the last event is incomplete.
   bool hasPartialEvent() const { return !partial_.empty(); }
+  /// Bytes of an incomplete event that are held.
+  std::size_t partialBytes() const { return partial_.size(); }
 
 private:
   std::string partial_;
--- a/include/auburnspring/serving/piece_dispatcher.h
+++ b/include/auburnspring/serving/piece_dispatcher.h
@@ -8,6 +8,7 @@
 #include "auburnspring/serving/dialect.h"
 #include "auburnspring/serving/peer_network.h"
 #include "auburnspring/serving/request_limit_exchange.h"
+#include "auburnspring/serving/response_share.h"
 
 #include <functional>
 #include <map>
@@ -40,7 +41,7 @@
   PieceDispatcher(asio::io_context &io, const Dialect *dialect,
                   PeerNetwork *peers, UpstreamRegistry *registry,
                   RequestLimitExchange *requestLimits,
-                  BatchLimitsLookup limits);
+                  ResponseBudget *responseBudget, BatchLimitsLookup limits);
 
   /// Submits a job of a request of this host. `onOutcome` is called once,
   /// unless the request is cancelled first.
@@ -109,13 +110,16 @@
   /// Owns its call and its timer, and so ends the handlers of both, which refer
   /// to it.
   struct BatchCall {
-    BatchCall(asio::io_context &io, std::uint64_t id) : number(id), timer(io) {}
+    BatchCall(asio::io_context &io, std::uint64_t id, ResponseBudget *budget)
+        : number(id), share(budget), timer(io) {}
     std::uint64_t number;
     std::string pool;
     /// Number that the batcher gave the batch.
     std::uint64_t batchNumber = 0;
     std::size_t items = 0;
     int status = 0;
+    /// Counts what `body` holds.
+    ResponseShare share;
     std::string body;
     bool notRun = false;
     TimePoint startedAt;
@@ -170,6 +174,7 @@
   PeerNetwork *peers_;
   UpstreamRegistry *registry_;
   RequestLimitExchange *requestLimits_;
+  ResponseBudget *responseBudget_;
   PartGuardExchange *partGuard_ = nullptr;
   ReachExchange *reach_ = nullptr;
   BatchLimitsLookup batchLimits_;
--- a/include/auburnspring/serving/serving_context.h
+++ b/include/auburnspring/serving/serving_context.h
@@ -14,6 +14,7 @@
 #include "auburnspring/serving/piece_dispatcher.h"
 #include "auburnspring/serving/reach_exchange.h"
 #include "auburnspring/serving/request_limit_exchange.h"
+#include "auburnspring/serving/response_budget.h"
 #include "auburnspring/serving/serving_metrics.h"
 #include "auburnspring/serving/store_follower.h"
 #include "auburnspring/serving/stream_origin_exchange.h"
@@ -36,6 +37,7 @@
   const Dialect *dialect = nullptr;
   /// Configuration in force; null until one has been read.
   std::shared_ptr<const RoutingTable> table;
+  ResponseBudget responseBudget;
   UpstreamRegistry registry;
   RetryQuota retryQuota;
   PieceDispatcher *pieceDispatcher = nullptr;
--- a/src/auburnspring/serving/active_request_attempts.cpp
+++ b/src/auburnspring/serving/active_request_attempts.cpp
@@ -159,8 +159,9 @@
   triedUpstreams_.push_back(upstream->entry.id);
   ++possibleRuns_;
   Attempt::Events events;
-  auto attempt = std::make_unique<Attempt>(*context_->io, context_->dialect,
-                                           upstream, tokens);
+  auto attempt =
+      std::make_unique<Attempt>(*context_->io, context_->dialect, upstream,
+                                tokens, &context_->responseBudget);
   Attempt *raw = attempt.get();
   events.onHead = [this, raw] { onHead(raw); };
   events.onBody = [this, raw](std::string_view bytes) { onBody(raw, bytes); };
@@ -207,9 +208,11 @@
   if (done_)
     return;
   // A truncated body must not be forwarded as a complete one.
-  if (attempt->body().size() + bytes.size() > MaxResponseBytes)
-    return attempt->endUnbounded("body", attempt->body().size() + bytes.size());
-  attempt->body().append(bytes);
+  const std::size_t size = attempt->body().size() + bytes.size();
+  if (size > MaxResponseBytes)
+    return attempt->endUnbounded("body", size);
+  if (!attempt->appendBody(bytes))
+    attempt->endUnbounded("budget", size);
 }
 
 void ActiveRequest::recordEventTime(TimePoint now) {
@@ -226,7 +229,9 @@
   std::string out;
   bool hasEvent = false;
   attempt->meter().addBytes(bytes.size());
-  for (const StreamEvent &event : attempt->splitter().feed(bytes)) {
+  std::vector<StreamEvent> events;
+  const bool hasRoom = attempt->splitEvents(bytes, &events);
+  for (const StreamEvent &event : events) {
     // A resumed stream may repeat events that the caller has received.
     const bool isRepeated =
         event.id && lastEventId_ && *event.id <= *lastEventId_;
@@ -244,7 +249,9 @@
   else if (streamStarted_ && attempts_.size() == 1)
     exchange_->write(out);
   if (!done_ && attempt->meter().isExceeded())
-    attempt->endUnbounded("event", attempt->meter().bytes());
+    return attempt->endUnbounded("event", attempt->meter().bytes());
+  if (!done_ && !hasRoom)
+    attempt->endUnbounded("budget", attempt->splitter().partialBytes());
 }
 
 void ActiveRequest::forwardEvents(Attempt *attempt, std::string_view events) {
--- a/src/auburnspring/serving/attempt.cpp
+++ b/src/auburnspring/serving/attempt.cpp
@@ -3,9 +3,10 @@
 namespace auburnspring {
 
 Attempt::Attempt(asio::io_context &io, const Dialect *dialect,
-                 UpstreamStatePtr upstream, AttemptTokens tokens)
+                 UpstreamStatePtr upstream, AttemptTokens tokens,
+                 ResponseBudget *budget)
     : dialect_(dialect), upstream_(std::move(upstream)), tokens_(tokens),
-      io_(io) {}
+      share_(budget), io_(io) {}
 
 Attempt::~Attempt() { releaseLoad(); }
 
@@ -36,6 +37,8 @@
     ended_ = true;
     callStatus_ = callStatus;
     failureReason_ = std::string(reason);
+    if (callStatus != http::CallStatus::Complete)
+      discardBody();
     releaseLoad();
     events_.onEnd();
   };
@@ -47,6 +50,7 @@
 void Attempt::cancel() {
   if (call_)
     call_->cancel();
+  discardBody();
   releaseLoad();
 }
 
@@ -55,6 +59,24 @@
     call_->endUnbounded(part, bytes);
 }
 
+bool Attempt::appendBody(std::string_view bytes) {
+  if (!share_.resize(body_.size() + bytes.size()))
+    return false;
+  body_.append(bytes);
+  return true;
+}
+
+bool Attempt::splitEvents(std::string_view bytes,
+                          std::vector<StreamEvent> *events) {
+  *events = splitter_.feed(bytes);
+  return share_.resize(splitter_.partialBytes());
+}
+
+void Attempt::discardBody() {
+  body_ = std::string();
+  share_.resize(0);
+}
+
 void Attempt::notePrefillDone() {
   if (prefillDone_ || loadReleased_)
     return;
--- a/src/auburnspring/serving/piece_dispatcher.cpp
+++ b/src/auburnspring/serving/piece_dispatcher.cpp
@@ -41,10 +41,11 @@
 PieceDispatcher::PieceDispatcher(asio::io_context &io, const Dialect *dialect,
                                  PeerNetwork *peers, UpstreamRegistry *registry,
                                  RequestLimitExchange *requestLimits,
+                                 ResponseBudget *responseBudget,
                                  BatchLimitsLookup limits)
     : io_(io), dialect_(dialect), peers_(peers), registry_(registry),
-      requestLimits_(requestLimits), batchLimits_(std::move(limits)),
-      releaseTimer_(io) {}
+      requestLimits_(requestLimits), responseBudget_(responseBudget),
+      batchLimits_(std::move(limits)), releaseTimer_(io) {}
 
 void PieceDispatcher::submit(StageJob job, OutcomeHandler onOutcome) {
   job.host = peers_->self();
@@ -280,7 +281,8 @@
 void PieceDispatcher::startBatch(const std::string &pool,
                                  const PieceBatch &batch) {
   const std::uint64_t number = nextBatch_++;
-  BatchCall &call = batches_.try_emplace(number, io_, number).first->second;
+  BatchCall &call =
+      batches_.try_emplace(number, io_, number, responseBudget_).first->second;
   call.lease = requestLimits_->takeOwn(batch.upstream, BatchHoldTime);
   call.pool = pool;
   call.items = batch.items.size();
@@ -298,6 +300,9 @@
     onBatchHead(&call, head);
   };
   callbacks.onBody = [&call](std::string_view bytes) {
+    const std::size_t size = call.body.size() + bytes.size();
+    if (!call.share.resize(size))
+      return call.call->endUnbounded("budget", size);
     call.body.append(bytes);
   };
   callbacks.onEnd = [this, &call](http::CallStatus callStatus,
--- a/src/auburnspring/serving/serving_host.cpp
+++ b/src/auburnspring/serving/serving_host.cpp
@@ -67,14 +67,16 @@
           }),
       requestLimits_(io, &peers_, &context_.registry, &context_.metrics,
                      randomSeed()),
-      pieceDispatcher_(
-          io, dialect, &peers_, &context_.registry, &requestLimits_,
-          [this](const std::string &pool) -> const BatchLimits * {
-            const ServedPool *found =
-                context_.table ? context_.table->pool(pool) : nullptr;
-            return found != nullptr && found->batches ? &*found->batches
-                                                      : nullptr;
-          }),
+      pieceDispatcher_(io, dialect, &peers_, &context_.registry,
+                       &requestLimits_, &context_.responseBudget,
+                       [this](const std::string &pool) -> const BatchLimits * {
+                         const ServedPool *found =
+                             context_.table ? context_.table->pool(pool)
+                                            : nullptr;
+                         return found != nullptr && found->batches
+                                    ? &*found->batches
+                                    : nullptr;
+                       }),
       streamOrigins_(io, &peers_),
       originStore_(store, &streamOrigins_, &context_.versionHistory,
                    {dialect->originPagePrefix(), settings_.host, randomSeed()}),
@@ -553,6 +555,8 @@
 void ServingHost::onMetrics(http::Exchange *exchange) {
   ServingMetrics &metrics = context_.metrics;
   metrics.set("requests_in_progress", static_cast<double>(requests_.size()));
+  metrics.set("response_bytes_held",
+              static_cast<double>(context_.responseBudget.heldBytes()));
   metrics.set("caller_connections",
               static_cast<double>(callerServer_.connectionCount()));
   metrics.set("caller_bytes_discarded",
