--- a/src/auburnspring/http/message_reader.cpp
+++ b/src/auburnspring/http/message_reader.cpp
@@ -174,14 +174,14 @@
   if (!impl_->isInBody()) {
     const absl::StatusOr<std::size_t> headBytes = impl_->feedHead(bytes);
     if (!headBytes.ok())
-      return headBytes;
+      return headBytes.status();
     consumed = *headBytes;
   }
   if (impl_->isInBody()) {
     const absl::StatusOr<std::size_t> bodyBytes =
         impl_->feedBody(bytes.substr(consumed));
     if (!bodyBytes.ok())
-      return bodyBytes;
+      return bodyBytes.status();
     consumed += *bodyBytes;
   }
   if (impl_->messageEnded && impl_->callbacks.onMessage)
@@ -195,7 +195,7 @@
     headValidator.beginHead();
   const absl::StatusOr<std::size_t> headEnd = headValidator.feed(bytes);
   if (!headEnd.ok())
-    return headEnd;
+    return headEnd.status();
   return parse(bytes.substr(0, *headEnd));
 }
 
