Soak: upstreams that respond with damaged heads

Fault set 9 adds upstreams that run a request, then answer it with a signature and the status 000, so that the soak learns the fault of the malformed heads.

--- a/soak/fault_injector.cpp
+++ b/soak/fault_injector.cpp
@@ -96,6 +96,10 @@
       {"stage_calls_time_out", &Self::stageUpstreamsMeetTimeouts,
        StageTimeoutsFaultSet},
       {"pause", &Self::pauseHost, StageTimeoutsFaultSet},
+      {"workers_damage_heads", &Self::upstreamsDamageHeads,
+       DamagedHeadsFaultSet},
+      {"workers_damage_heads", &Self::upstreamsDamageHeads,
+       DamagedHeadsFaultSet},
   };
   kinds.erase(
       std::remove_if(kinds.begin(), kinds.end(),
@@ -352,6 +356,9 @@
 void FaultInjector::upstreamsHang(Duration span) {
   setUpstreamFaults(FaultMode::Hangs, span);
 }
+void FaultInjector::upstreamsDamageHeads(Duration span) {
+  setUpstreamFaults(FaultMode::DamagesHead, span);
+}
 void FaultInjector::upstreamsAbortStreams(Duration span) {
   setUpstreamFaults(FaultMode::AbortsStream, span);
 }
--- a/soak/fault_injector.h
+++ b/soak/fault_injector.h
@@ -14,7 +14,7 @@
 public:
   /// Kinds of faults that were added together. A seed's sequence depends on the
   /// kinds, so a seed that failed is kept with the set it failed with.
-  static constexpr int LatestFaultSet = 8;
+  static constexpr int LatestFaultSet = 9;
   /// First set with upstreams of several software versions.
   static constexpr int VersionsFaultSet = 3;
   /// From this set on, one prompt part crashes upstreams.
@@ -30,6 +30,8 @@
   /// From this set on, stage upstreams respond as their calls time out, and
   /// hosts are paused more often.
   static constexpr int StageTimeoutsFaultSet = 8;
+  /// From this set on, upstreams respond with damaged heads.
+  static constexpr int DamagedHeadsFaultSet = 9;
 
   FaultInjector(asio::io_context &io, SoakCluster *cluster,
                 GuaranteeChecker *checker, std::uint64_t seed,
@@ -96,6 +98,7 @@
   void upstreamsDropResponses(Duration span);
   void upstreamsHang(Duration span);
   void upstreamsAbortStreams(Duration span);
+  void upstreamsDamageHeads(Duration span);
   void impairUpstreamLink(Duration span);
   void blackholeUpstream(Duration span);
   void replaceUpstream(Duration span);
