--- a/include/auburnspring/http/head_validator.h
+++ b/include/auburnspring/http/head_validator.h
@@ -39,11 +39,11 @@
   bool beforeStartLine(char c);
   bool statusLine(char c);
   bool afterStatusCode(char c);
-  bool reasonPhrase(char c);
-  bool requestLine(char c);
+  /// A reason phrase, a request line, whose syntax the parser checks, or the
+  /// value of a field.
+  bool restOfLine(char c);
   bool lineStart(char c);
   bool fieldName(char c);
-  bool fieldValue(char c);
   bool lineFeed(char c);
   bool finalLineFeed(char c);
 
--- a/src/auburnspring/http/head_validator.cpp
+++ b/src/auburnspring/http/head_validator.cpp
@@ -67,7 +67,7 @@
   if (c == '\r' || c == '\n')
     return true;
   step_ = kind_ == MessageKind::Response ? &HeadValidator::statusLine
-                                         : &HeadValidator::requestLine;
+                                         : &HeadValidator::restOfLine;
   return (this->*step_)(c);
 }
 
@@ -83,17 +83,11 @@
 }
 
 bool HeadValidator::afterStatusCode(char c) {
-  step_ = c == '\r' ? &HeadValidator::lineFeed : &HeadValidator::reasonPhrase;
+  step_ = c == '\r' ? &HeadValidator::lineFeed : &HeadValidator::restOfLine;
   return c == '\r' || c == ' ';
 }
 
-bool HeadValidator::reasonPhrase(char c) {
-  if (c == '\r')
-    step_ = &HeadValidator::lineFeed;
-  return c == '\r' || isTextCharacter(c);
-}
-
-bool HeadValidator::requestLine(char c) {
+bool HeadValidator::restOfLine(char c) {
   if (c == '\r')
     step_ = &HeadValidator::lineFeed;
   return c == '\r' || isTextCharacter(c);
@@ -106,16 +100,10 @@
 
 bool HeadValidator::fieldName(char c) {
   if (c == ':')
-    step_ = &HeadValidator::fieldValue;
+    step_ = &HeadValidator::restOfLine;
   return c == ':' || isTokenCharacter(c);
 }
 
-bool HeadValidator::fieldValue(char c) {
-  if (c == '\r')
-    step_ = &HeadValidator::lineFeed;
-  return c == '\r' || isTextCharacter(c);
-}
-
 bool HeadValidator::lineFeed(char c) {
   step_ = &HeadValidator::lineStart;
   return c == '\n';
