--- /dev/null
+++ b/review/stand_ins_2/deployment.h
@@ -0,0 +1,123 @@
+#ifndef AUBURNSPRING_REVIEW_DEPLOYMENT_H
+#define AUBURNSPRING_REVIEW_DEPLOYMENT_H
+
+#include "wire.h"
+
+#include <nlohmann/json.hpp>
+
+#include <condition_variable>
+#include <cstdint>
+#include <fstream>
+#include <memory>
+
+namespace review {
+
+/// Writes record.txt: one line for what was sent, answered and run.
+class Record {
+public:
+  explicit Record(const std::string &file) : out_(file) {}
+  void line(const std::string &text);
+
+private:
+  std::mutex mutex_;
+  std::ofstream out_;
+};
+
+/// Stand-in of the platform's metadata store.
+class Store {
+public:
+  Store();
+  ~Store();
+
+  int port() const { return listener_.port(); }
+  /// A write of the operator or of a worker. Returns false, and does nothing,
+  /// while the store is silent.
+  bool put(const std::string &key, const std::string &value);
+  bool remove(const std::string &key);
+  /// While it is silent, calls get no answer and watches that wait are lost.
+  void setSilent(bool silent);
+  bool isSilent() const { return silent_; }
+  bool has(const std::string &key);
+
+private:
+  struct Item {
+    std::string value;
+    std::int64_t revision = 0;
+    std::int64_t created = 0;
+    std::int64_t lease = 0;
+  };
+  struct Event {
+    std::string key;
+    std::int64_t revision = 0;
+    bool removed = false;
+  };
+  struct Lease {
+    Millis ttl{0};
+    Clock::time_point endsAt;
+  };
+
+  void serve(Connection *connection);
+  std::string answer(const Head &head, const std::string &body);
+  std::string watch(const std::map<std::string, std::string> &query);
+  std::string transact(const nlohmann::json &body);
+  void write(const std::string &key, const std::string &value,
+             std::int64_t lease);
+  void erase(const std::string &key);
+  nlohmann::json itemJson(const std::string &key, const Item &item) const;
+  void expireLeases();
+
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  std::map<std::string, Item> items_;
+  std::vector<Event> events_;
+  std::map<std::int64_t, Lease> leases_;
+  std::int64_t revision_ = 100;
+  std::int64_t nextLease_ = 1;
+  std::atomic<bool> silent_{false};
+  std::atomic<int> silences_{0};
+  std::atomic<bool> isRunning_{true};
+  std::thread expiry_;
+  Listener listener_;
+};
+
+/// Process of the system under test, started with the command of the deploy
+/// file.
+class Host {
+public:
+  /// `bounds` holds further fields of the settings.
+  Host(std::string name, std::string ip, int storePort, std::string folder,
+       nlohmann::json bounds = nlohmann::json::object());
+  ~Host() { kill(); }
+
+  void start();
+  void kill();
+  /// Waits until the host answers readiness probes with 200.
+  bool waitUntilReady(Millis timeout);
+  const std::string &ip() const { return ip_; }
+  int callerPort() const { return callerPort_; }
+  const std::string &name() const { return name_; }
+  pid_t pid() const { return pid_; }
+  /// Resident memory in megabytes.
+  double residentMb() const;
+
+private:
+  std::string name_;
+  std::string ip_;
+  int storePort_;
+  std::string folder_;
+  nlohmann::json bounds_;
+  int callerPort_ = 0;
+  int readinessPort_ = 0;
+  int peerPort_ = 0;
+  int handOverPort_ = 0;
+  int metricsPort_ = 0;
+  pid_t pid_ = -1;
+};
+
+/// True unless the environment holds TROUBLE=0.
+bool hasTrouble();
+std::int64_t unixMillis();
+
+} // namespace review
+
+#endif
--- /dev/null
+++ b/review/stand_ins_2/order_case.cpp
@@ -0,0 +1,313 @@
+/// Streams beside workers that restart in place with a newer software version
+/// while the store is away: no stream may hold events of two versions.
+
+#include "deployment.h"
+
+#include <cstdio>
+
+namespace {
+
+using namespace review;
+using nlohmann::json;
+
+constexpr int Consumers = 16;
+constexpr int EventsPerStream = 50;
+constexpr Millis EventGap(150);
+constexpr Millis Heartbeat(1200);
+constexpr int Tries = 3;
+
+/// A model worker. Each start of it is a new lifetime under the same id and
+/// address.
+class Worker {
+public:
+  Worker(std::string id, Store *store, Record *record)
+      : id_(std::move(id)), store_(store), record_(record),
+        listener_([this](Connection *c) { serve(c); }) {}
+  ~Worker() { crash(); }
+
+  void start(const std::string &version) {
+    version_ = version;
+    born_ = unixMillis();
+    listener_.start("127.0.0.1", port_);
+    port_ = listener_.port();
+    record_->line("worker " + id_ + " starts with version " + version_);
+    isRegistered_ = true;
+    heartbeat_ = std::thread([this] { registerAndBeat(); });
+  }
+
+  void crash() {
+    if (!listener_.isRunning())
+      return;
+    listener_.stop();
+    isRegistered_ = false;
+    heartbeat_.join();
+    record_->line("worker " + id_ + " crashes");
+  }
+
+private:
+  void registerAndBeat() {
+    bool wasWritten = false;
+    for (int sequence = 1; isRegistered_; ++sequence) {
+      const json entry = {{"Service", "model"},
+                          {"Address", "127.0.0.1:" + std::to_string(port_)},
+                          {"Zone", "ie-a"},
+                          {"Version", version_},
+                          {"Slots", 64},
+                          {"State", "ready"},
+                          {"ColdRemainingMs", 0},
+                          {"Sequence", sequence},
+                          {"born", born_}};
+      if (store_->put("servers/" + id_, entry.dump()) && !wasWritten) {
+        record_->line("worker " + id_ + " is registered with version " +
+                      version_);
+        wasWritten = true;
+      }
+      for (Millis waited(0); waited < Heartbeat && isRegistered_;
+           waited += Millis(20))
+        std::this_thread::sleep_for(Millis(20));
+    }
+  }
+
+  void serve(Connection *connection) {
+    Head head;
+    std::string body;
+    if (connection->readHead(&head, Millis(10000)) != ReadEnd::Complete ||
+        connection->readBody(head, &body, Millis(5000), nullptr) !=
+            ReadEnd::Complete)
+      return;
+    const std::string expected = head.field("Expected-Instance");
+    if (!expected.empty() && expected != id_) {
+      connection->write(response(421, {}, ""));
+      return;
+    }
+    if (head.method() == "GET") {
+      const json report = {
+          {"Stage", "both"}, {"Waiting", 0}, {"Running", 0}, {"born", born_}};
+      connection->write(response(200, {{"Instance-Id", id_}}, report.dump()));
+      return;
+    }
+    const std::string attempt = head.field("Attempt-Id");
+    const std::string last = head.field("Last-Event-Id");
+    const int first = last.empty() ? 1 : std::stoi(last) + 1;
+    record_->line("worker " + id_ + " (" + version_ + ") runs " + attempt +
+                  " from event " + std::to_string(first));
+    connection->write("HTTP/1.1 200 OK\r\nAttempt-Id: " + attempt +
+                      "\r\nResponse-Signature: signed." + id_ +
+                      "\r\nContent-Type: text/event-stream\r\n"
+                      "Transfer-Encoding: chunked\r\n\r\n");
+    for (int event = first; event <= EventsPerStream; ++event) {
+      std::this_thread::sleep_for(EventGap);
+      const std::string number = std::to_string(event);
+      if (!listener_.isRunning() ||
+          !writeChunk(connection, "id: " + number + "\ndata: " + version_ +
+                                      " piece " + number + "\n\n"))
+        return;
+    }
+    connection->write("0\r\n\r\n");
+    // The other side closes first.
+    while (listener_.isRunning() && !connection->hasInput(Millis(50))) {
+    }
+  }
+
+  static bool writeChunk(Connection *connection, const std::string &bytes) {
+    char size[16];
+    std::snprintf(size, sizeof(size), "%zx\r\n", bytes.size());
+    return connection->write(size + bytes + "\r\n");
+  }
+
+  std::string id_;
+  Store *store_;
+  Record *record_;
+  Listener listener_;
+  std::string version_;
+  std::int64_t born_ = 0;
+  int port_ = 0;
+  std::atomic<bool> isRegistered_{false};
+  std::thread heartbeat_;
+};
+
+json configuration() {
+  return {
+      {"Version", 7},
+      {"Routes", json::array({{{"Name", "notes"},
+                               {"Host", "shop.example"},
+                               {"PathPrefix", "/notes/"},
+                               {"Kind", "streaming"},
+                               {"Resumable", true},
+                               {"Service", "model"},
+                               {"MaxAttempts", 2},
+                               {"TimeoutMs", 15000},
+                               {"TargetLatencyMs", 1900},
+                               {"GapAimMs", 250},
+                               {"StickySessions", true},
+                               {"Public", true},
+                               {"Priority", 0}}})},
+      {"Services",
+       json::array({{{"Name", "model"},
+                     {"HealthPath", "/health"},
+                     {"ConnectionLimit", 370},
+                     {"Engine", {{"Slots", 64}, {"KvCacheTokens", 801974}}}}})},
+      {"Limits",
+       {{"MaxHeaderBytes", 16384},
+        {"MaxBodyBytes", 4194304},
+        {"HeaderTimeoutMs", 3000},
+        {"IdleTimeoutMs", 15000}}}};
+}
+
+/// One stream of a consumer, over all its tries.
+struct Stream {
+  std::set<std::string> versions;
+  std::vector<int> events;
+  bool isComplete = false;
+  std::string firstAttempt;
+};
+
+void takeEvents(std::string *buffer, const std::string &bytes,
+                const std::string &attempt, Stream *stream) {
+  buffer->append(bytes);
+  std::size_t end = 0;
+  while ((end = buffer->find("\n\n")) != std::string::npos) {
+    const std::string event = buffer->substr(0, end);
+    buffer->erase(0, end + 2);
+    const std::size_t data = event.find("data: ");
+    if (data == std::string::npos)
+      continue;
+    stream->versions.insert(event.substr(data + 6, 2));
+    stream->events.push_back(std::stoi(event.substr(4)));
+    if (stream->firstAttempt.empty())
+      stream->firstAttempt = attempt;
+  }
+}
+
+void consume(int number, std::vector<std::unique_ptr<Host>> *hosts,
+             Stream *stream, Record *record) {
+  const auto deadline = Clock::now() + Millis(15000);
+  Millis pause(0);
+  for (int attempt = 0; attempt <= Tries && !stream->isComplete; ++attempt) {
+    std::this_thread::sleep_for(pause);
+    pause = Millis(300);
+    const auto left =
+        std::chrono::duration_cast<Millis>(deadline - Clock::now());
+    if (left < Millis(500))
+      return;
+    const Host &host =
+        *(*hosts)[static_cast<std::size_t>(number + attempt) % hosts->size()];
+    char id[32];
+    std::snprintf(id, sizeof(id), "%08x%08x", 0x5ac0000 + number,
+                  static_cast<unsigned>(attempt));
+    const int fd = connectTo(host.ip(), host.callerPort(), Millis(1000));
+    if (fd < 0)
+      continue;
+    Connection connection(fd);
+    std::string head =
+        "POST /notes/" + std::to_string(number) +
+        " HTTP/1.1\r\nHost: shop.example\r\nAttempt-Id: " + id +
+        "\r\nModel: m\r\nToken-Usage: 628,60\r\n"
+        "Prompt-Prefix: aa" +
+        std::to_string(number % 4) + ":128,bb" + std::to_string(number) +
+        ":500\r\nTime-Remaining-Ms: " + std::to_string(left.count()) +
+        "\r\nContent-Length: 4\r\n";
+    if (!stream->events.empty())
+      head += "Last-Event-Id: " + std::to_string(stream->events.back()) +
+              "\r\nResumes: " + stream->firstAttempt + "\r\n";
+    record->line(
+        "consumer " + std::to_string(number) + " sends " + id + " to " +
+        host.name() + " after event " +
+        std::to_string(stream->events.empty() ? 0 : stream->events.back()));
+    connection.write(head + "\r\nnote");
+    Head answer;
+    if (connection.readHead(&answer, left) != ReadEnd::Complete) {
+      record->line(std::string(id) + " gets no answer");
+      continue;
+    }
+    std::string buffer;
+    const ReadEnd end = connection.readBody(
+        answer, nullptr, left, [&](const std::string &bytes) {
+          if (answer.status() == 200)
+            takeEvents(&buffer, bytes, id, stream);
+        });
+    stream->isComplete = answer.status() == 200 && end == ReadEnd::Complete;
+    record->line(
+        std::string(id) + " is answered " + std::to_string(answer.status()) +
+        (end == ReadEnd::Complete ? ", complete" : ", broken off") +
+        ", last event " +
+        std::to_string(stream->events.empty() ? 0 : stream->events.back()));
+    const std::string retryAfter = answer.field("Retry-After");
+    if (!retryAfter.empty())
+      pause = Millis(static_cast<int>(1000 * std::stod(retryAfter)));
+  }
+}
+
+int run(const std::string &caseFolder, const std::string &folder) {
+  Record record(caseFolder + "/record.txt");
+  Store store;
+  store.put("op/config", configuration().dump());
+  Worker first("i-7f3a91c2", &store, &record);
+  Worker second("i-18ca9fba", &store, &record);
+  first.start("v1");
+  second.start("v1");
+  std::vector<std::unique_ptr<Host>> hosts;
+  for (int i = 1; i <= 3; ++i) {
+    hosts.push_back(std::make_unique<Host>("frontend-ie-a-" + std::to_string(i),
+                                           "127.0.0." + std::to_string(10 + i),
+                                           store.port(), folder));
+    hosts.back()->start();
+  }
+  for (const auto &host : hosts)
+    if (!host->waitUntilReady(Millis(8000)))
+      return 2;
+  // As traffic starts ten seconds after the machines do; a bit less here.
+  std::this_thread::sleep_for(Millis(5000));
+  std::vector<Stream> streams(Consumers);
+  std::vector<std::thread> consumers;
+  for (int i = 0; i < Consumers; ++i)
+    consumers.emplace_back(consume, i, &hosts,
+                           &streams[static_cast<std::size_t>(i)], &record);
+  std::this_thread::sleep_for(Millis(1000));
+  if (hasTrouble()) {
+    record.line("the store falls silent");
+    store.setSilent(true);
+  }
+  std::this_thread::sleep_for(Millis(600));
+  first.crash();
+  std::this_thread::sleep_for(Millis(500));
+  first.start("v2");
+  std::this_thread::sleep_for(Millis(1200));
+  second.crash();
+  std::this_thread::sleep_for(Millis(500));
+  second.start("v2");
+  std::this_thread::sleep_for(Millis(1000));
+  if (hasTrouble()) {
+    store.setSilent(false);
+    record.line("the store is back");
+  }
+  for (std::thread &consumer : consumers)
+    consumer.join();
+  int mixed = 0;
+  int complete = 0;
+  for (const Stream &stream : streams) {
+    mixed += stream.versions.size() > 1 ? 1 : 0;
+    complete += stream.isComplete ? 1 : 0;
+  }
+  const std::string result = std::to_string(mixed) + " of " +
+                             std::to_string(Consumers) +
+                             " streams hold events of two software versions; " +
+                             std::to_string(complete) + " ended as complete";
+  record.line(result);
+  std::puts(result.c_str());
+  // The rule allows two.
+  return mixed > 2 ? 1 : 0;
+}
+
+} // namespace
+
+int main(int argc, char **argv) {
+  if (argc != 3)
+    return 2;
+  try {
+    return run(argv[1], argv[2]);
+  } catch (const std::exception &error) {
+    std::fprintf(stderr, "%s\n", error.what());
+    return 2;
+  }
+}
