--- a/review/stand_ins_2/deployment.cpp
+++ b/review/stand_ins_2/deployment.cpp
@@ -196,6 +196,13 @@
     if (connection->readBody(head, &body, Millis(5000), nullptr) !=
         ReadEnd::Complete)
       return;
+    if (const Millis delay = takeLostWrite(head, body); delay > Millis(0)) {
+      std::this_thread::sleep_for(delay);
+      answer(head, body);
+      while (isRunning_ && !connection->hasInput(Millis(200))) {
+      }
+      return;
+    }
     const int silencesBefore = silences_;
     const std::string reply = silent_ ? "" : answer(head, body);
     // What was waiting when the silence began is lost for good.
@@ -209,6 +216,27 @@
   }
 }
 
+void Store::loseNextWrite(const std::string &key, Millis delay) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  lostWrites_[key] = delay;
+}
+
+Millis Store::takeLostWrite(const Head &head, const std::string &body) {
+  if (head.target() != "/api/kv-txn")
+    return Millis(0);
+  const json transaction = json::parse(body);
+  const std::lock_guard<std::mutex> lock(mutex_);
+  for (const json &row : transaction.at("Writes")) {
+    const auto lost = lostWrites_.find(row.at("Key").get<std::string>());
+    if (lost == lostWrites_.end())
+      continue;
+    const Millis delay = lost->second;
+    lostWrites_.erase(lost);
+    return delay;
+  }
+  return Millis(0);
+}
+
 std::string Store::answer(const Head &head, const std::string &body) {
   const std::string target = head.target();
   const std::string path = target.substr(0, target.find('?'));
--- a/review/stand_ins_2/deployment.h
+++ b/review/stand_ins_2/deployment.h
@@ -37,6 +37,9 @@
   /// While it is silent, calls get no answer and watches that wait are lost.
   void setSilent(bool silent);
   bool isSilent() const { return silent_; }
+  /// The next transaction on each of these keys is done this much later, and
+  /// not answered.
+  void loseNextWrite(const std::string &key, Millis delay);
   bool has(const std::string &key);
 
 private:
@@ -60,6 +63,8 @@
   std::string answer(const Head &head, const std::string &body);
   std::string watch(const std::map<std::string, std::string> &query);
   std::string transact(const nlohmann::json &body);
+  /// Takes the delay of a transaction that is to be lost; 0 for any other.
+  Millis takeLostWrite(const Head &head, const std::string &body);
   void write(const std::string &key, const std::string &value,
              std::int64_t lease);
   void erase(const std::string &key);
@@ -76,6 +81,7 @@
   std::atomic<bool> silent_{false};
   std::atomic<int> silences_{0};
   std::atomic<bool> isRunning_{true};
+  std::map<std::string, Millis> lostWrites_;
   std::thread expiry_;
   Listener listener_;
 };
