--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -7,10 +7,12 @@
 mkdir -p "$out"
 sources=review/stand_ins_2
 flags=(-std=c++17 -O2 -Wall -Wextra -pthread)
-for part in wire deployment; do
+parts=()
+for part in wire deployment model_worker; do
   "${CXX:-g++}" "${flags[@]}" -c "$sources/$part.cpp" -o "$out/$part.o"
+  parts+=("$out/$part.o")
 done
-for case in order memory cold; do
-  "${CXX:-g++}" "${flags[@]}" "$sources/${case}_case.cpp" "$out/wire.o" \
-    "$out/deployment.o" -o "$out/${case}_case"
+for source in "$sources"/*_case.cpp; do
+  "${CXX:-g++}" "${flags[@]}" "$source" "${parts[@]}" \
+    -o "$out/$(basename "$source" .cpp)"
 done
--- a/review/stand_ins_2/order_case.cpp
+++ b/review/stand_ins_2/order_case.cpp
@@ -1,7 +1,7 @@
 /// Streams beside workers that restart in place with a newer software version
 /// while the store is away: no stream may hold events of two versions.
 
-#include "deployment.h"
+#include "model_worker.h"
 
 #include <cstdio>
 
@@ -12,120 +12,8 @@
 
 constexpr int Consumers = 16;
 constexpr int EventsPerStream = 50;
-constexpr Millis EventGap(150);
-constexpr Millis Heartbeat(1200);
 constexpr int Tries = 3;
 
-/// A model worker. Each start of it is a new lifetime under the same id and
-/// address.
-class Worker {
-public:
-  Worker(std::string id, Store *store, Record *record)
-      : id_(std::move(id)), store_(store), record_(record),
-        listener_([this](Connection *c) { serve(c); }) {}
-  ~Worker() { crash(); }
-
-  void start(const std::string &version) {
-    version_ = version;
-    born_ = unixMillis();
-    listener_.start("127.0.0.1", port_);
-    port_ = listener_.port();
-    record_->line("worker " + id_ + " starts with version " + version_);
-    isRegistered_ = true;
-    heartbeat_ = std::thread([this] { registerAndBeat(); });
-  }
-
-  void crash() {
-    if (!listener_.isRunning())
-      return;
-    listener_.stop();
-    isRegistered_ = false;
-    heartbeat_.join();
-    record_->line("worker " + id_ + " crashes");
-  }
-
-private:
-  void registerAndBeat() {
-    bool wasWritten = false;
-    for (int sequence = 1; isRegistered_; ++sequence) {
-      const json entry = {{"Service", "model"},
-                          {"Address", "127.0.0.1:" + std::to_string(port_)},
-                          {"Zone", "ie-a"},
-                          {"Version", version_},
-                          {"Slots", 64},
-                          {"State", "ready"},
-                          {"ColdRemainingMs", 0},
-                          {"Sequence", sequence},
-                          {"born", born_}};
-      if (store_->put("servers/" + id_, entry.dump()) && !wasWritten) {
-        record_->line("worker " + id_ + " is registered with version " +
-                      version_);
-        wasWritten = true;
-      }
-      for (Millis waited(0); waited < Heartbeat && isRegistered_;
-           waited += Millis(20))
-        std::this_thread::sleep_for(Millis(20));
-    }
-  }
-
-  void serve(Connection *connection) {
-    Head head;
-    std::string body;
-    if (connection->readHead(&head, Millis(10000)) != ReadEnd::Complete ||
-        connection->readBody(head, &body, Millis(5000), nullptr) !=
-            ReadEnd::Complete)
-      return;
-    const std::string expected = head.field("Expected-Instance");
-    if (!expected.empty() && expected != id_) {
-      connection->write(response(421, {}, ""));
-      return;
-    }
-    if (head.method() == "GET") {
-      const json report = {
-          {"Stage", "both"}, {"Waiting", 0}, {"Running", 0}, {"born", born_}};
-      connection->write(response(200, {{"Instance-Id", id_}}, report.dump()));
-      return;
-    }
-    const std::string attempt = head.field("Attempt-Id");
-    const std::string last = head.field("Last-Event-Id");
-    const int first = last.empty() ? 1 : std::stoi(last) + 1;
-    record_->line("worker " + id_ + " (" + version_ + ") runs " + attempt +
-                  " from event " + std::to_string(first));
-    connection->write("HTTP/1.1 200 OK\r\nAttempt-Id: " + attempt +
-                      "\r\nResponse-Signature: signed." + id_ +
-                      "\r\nContent-Type: text/event-stream\r\n"
-                      "Transfer-Encoding: chunked\r\n\r\n");
-    for (int event = first; event <= EventsPerStream; ++event) {
-      std::this_thread::sleep_for(EventGap);
-      const std::string number = std::to_string(event);
-      if (!listener_.isRunning() ||
-          !writeChunk(connection, "id: " + number + "\ndata: " + version_ +
-                                      " piece " + number + "\n\n"))
-        return;
-    }
-    connection->write("0\r\n\r\n");
-    // The other side closes first.
-    while (listener_.isRunning() && !connection->hasInput(Millis(50))) {
-    }
-  }
-
-  static bool writeChunk(Connection *connection, const std::string &bytes) {
-    char size[16];
-    std::snprintf(size, sizeof(size), "%zx\r\n", bytes.size());
-    return connection->write(size + bytes + "\r\n");
-  }
-
-  std::string id_;
-  Store *store_;
-  Record *record_;
-  Listener listener_;
-  std::string version_;
-  std::int64_t born_ = 0;
-  int port_ = 0;
-  std::atomic<bool> isRegistered_{false};
-  std::thread heartbeat_;
-};
-
 json configuration() {
   return {
       {"Version", 7},
@@ -242,8 +130,8 @@
   Record record(caseFolder + "/record.txt");
   Store store;
   store.put("op/config", configuration().dump());
-  Worker first("i-7f3a91c2", &store, &record);
-  Worker second("i-18ca9fba", &store, &record);
+  ModelWorker first("i-7f3a91c2", EventsPerStream, &store, &record);
+  ModelWorker second("i-18ca9fba", EventsPerStream, &store, &record);
   first.start("v1");
   second.start("v1");
   std::vector<std::unique_ptr<Host>> hosts;
