Review case 7: a corrected origin is lost with a silent channel

Cause: origins of streams are sent to the other hosts once, and a record that is not bound yet is believed by the host that resumes the stream.

--- a/review/stand_ins_2/deployment.cpp
+++ b/review/stand_ins_2/deployment.cpp
@@ -4,7 +4,9 @@
 #include <cstdio>
 #include <cstdlib>
 #include <fcntl.h>
+#include <poll.h>
 #include <sys/prctl.h>
+#include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -96,7 +98,7 @@
   out_.flush();
 }
 
-Store::Store() : listener_([this](Connection *c) { serve(c); }) {
+Store::Store() : listener_([this](Connection *c) { serve(c, nullptr); }) {
   listener_.start("127.0.0.1", 0);
   expiry_ = std::thread([this] { expireLeases(); });
 }
@@ -105,9 +107,20 @@
   isRunning_ = false;
   changed_.notify_all();
   listener_.stop();
+  for (const auto &view : views_)
+    view->stop();
   expiry_.join();
 }
 
+int Store::addView(View view) {
+  views_.push_back(std::make_unique<Listener>(
+      [this, view = std::move(view)](Connection *connection) {
+        serve(connection, view);
+      }));
+  views_.back()->start("127.0.0.1", 0);
+  return views_.back()->port();
+}
+
 void Store::expireLeases() {
   while (isRunning_) {
     std::this_thread::sleep_for(Millis(50));
@@ -179,15 +192,16 @@
   changed_.notify_all();
 }
 
-json Store::itemJson(const std::string &key, const Item &item) const {
+json Store::itemJson(const std::string &key, const Item &item,
+                     const View &view) {
   return {{"Key", key},
-          {"Value", toBase64(item.value)},
+          {"Value", toBase64(view ? view(key, item.value) : item.value)},
           {"Revision", item.revision},
           {"CreatedRev", item.created},
           {"Lease", item.lease}};
 }
 
-void Store::serve(Connection *connection) {
+void Store::serve(Connection *connection, const View &view) {
   Head head;
   std::string body;
   while (isRunning_ &&
@@ -198,13 +212,13 @@
       return;
     if (const Millis delay = takeLostWrite(head, body); delay > Millis(0)) {
       std::this_thread::sleep_for(delay);
-      answer(head, body);
+      answer(head, body, view);
       while (isRunning_ && !connection->hasInput(Millis(200))) {
       }
       return;
     }
     const int silencesBefore = silences_;
-    const std::string reply = silent_ ? "" : answer(head, body);
+    const std::string reply = silent_ ? "" : answer(head, body, view);
     // What was waiting when the silence began is lost for good.
     if (silent_ || silences_ != silencesBefore) {
       while (isRunning_ && !connection->hasInput(Millis(200))) {
@@ -237,19 +251,20 @@
   return Millis(0);
 }
 
-std::string Store::answer(const Head &head, const std::string &body) {
+std::string Store::answer(const Head &head, const std::string &body,
+                          const View &view) {
   const std::string target = head.target();
   const std::string path = target.substr(0, target.find('?'));
   auto query = queryOf(target);
   if (path == "/api/kv-watch")
-    return watch(query);
+    return watch(query, view);
   const std::lock_guard<std::mutex> lock(mutex_);
   if (path == "/api/kv-range") {
     json items = json::array();
     for (const auto &item : items_)
       if (startsWith(item.first, query["PathPrefix"]) &&
           item.first > query["After"])
-        items.push_back(itemJson(item.first, item.second));
+        items.push_back(itemJson(item.first, item.second, view));
     return jsonResponse(200, {{"Items", std::move(items)},
                               {"Truncated", false},
                               {"CurrentRev", revision_}});
@@ -258,7 +273,7 @@
     const auto item = items_.find(query["Key"]);
     return item == items_.end()
                ? jsonResponse(404, json::object())
-               : jsonResponse(200, itemJson(item->first, item->second));
+               : jsonResponse(200, itemJson(item->first, item->second, view));
   }
   if (path == "/api/kv-txn")
     return transact(json::parse(body));
@@ -285,7 +300,8 @@
   return jsonResponse(404, json::object());
 }
 
-std::string Store::watch(const std::map<std::string, std::string> &query) {
+std::string Store::watch(const std::map<std::string, std::string> &query,
+                         const View &view) {
   const auto until = Clock::now() + Millis(std::stoll(query.at("WaitMs")));
   const std::int64_t after = std::stoll(query.at("After"));
   const auto prefixField = query.find("PathPrefix");
@@ -305,7 +321,7 @@
                           {"Revision", event.revision},
                           {"Removed", true}});
       else if (item != items_.end() && item->second.revision == event.revision)
-        events.push_back(itemJson(event.key, item->second));
+        events.push_back(itemJson(event.key, item->second, view));
     }
     if (!events.empty() || Clock::now() >= until || silent_ || !isRunning_)
       return jsonResponse(
@@ -339,6 +355,50 @@
   return jsonResponse(200, {{"Revision", revision_}});
 }
 
+Proxy::Proxy(std::string ip, int port)
+    : ip_(std::move(ip)), targetPort_(port),
+      listener_([this](Connection *connection) { forward(connection); }) {
+  listener_.start("127.0.0.1", 0);
+}
+
+void Proxy::silenceOpenChannels(Millis timeout) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  silentSince_ = Clock::now();
+  timeout_ = timeout;
+}
+
+void Proxy::forward(Connection *connection) {
+  const auto openedAt = Clock::now();
+  const int fd = connectTo(ip_, targetPort_, Millis(400));
+  if (fd < 0)
+    return;
+  Connection target(fd);
+  pollfd ends[2] = {{connection->fd(), POLLIN, 0}, {fd, POLLIN, 0}};
+  char bytes[16384];
+  while (listener_.isRunning()) {
+    {
+      const std::lock_guard<std::mutex> lock(mutex_);
+      if (openedAt < silentSince_) {
+        if (Clock::now() > silentSince_ + timeout_)
+          return;
+        std::this_thread::sleep_for(Millis(10));
+        continue;
+      }
+    }
+    if (::poll(ends, 2, 10) <= 0)
+      continue;
+    for (int i = 0; i < 2; ++i) {
+      if (ends[i].revents == 0)
+        continue;
+      const ssize_t n = ::recv(ends[i].fd, bytes, sizeof(bytes), 0);
+      Connection *other = i == 0 ? &target : connection;
+      if (n <= 0 ||
+          !other->write(std::string(bytes, static_cast<std::size_t>(n))))
+        return;
+    }
+  }
+}
+
 Host::Host(std::string name, std::string ip, int storePort, std::string folder,
            json bounds)
     : name_(std::move(name)), ip_(std::move(ip)), storePort_(storePort),
--- a/review/stand_ins_2/deployment.h
+++ b/review/stand_ins_2/deployment.h
@@ -30,6 +30,12 @@
   ~Store();
 
   int port() const { return listener_.port(); }
+  /// Changes what a host reads, by key and value: where its way to a peer or a
+  /// worker leads through a proxy, the entry names that.
+  using View =
+      std::function<std::string(const std::string &, const std::string &)>;
+  /// Another address of the store, for such a host.
+  int addView(View view);
   /// A write of the operator or of a worker. Returns false, and does nothing,
   /// while the store is silent.
   bool put(const std::string &key, const std::string &value);
@@ -59,16 +65,19 @@
     Clock::time_point endsAt;
   };
 
-  void serve(Connection *connection);
-  std::string answer(const Head &head, const std::string &body);
-  std::string watch(const std::map<std::string, std::string> &query);
+  void serve(Connection *connection, const View &view);
+  std::string answer(const Head &head, const std::string &body,
+                     const View &view);
+  std::string watch(const std::map<std::string, std::string> &query,
+                    const View &view);
   std::string transact(const nlohmann::json &body);
   /// Takes the delay of a transaction that is to be lost; 0 for any other.
   Millis takeLostWrite(const Head &head, const std::string &body);
   void write(const std::string &key, const std::string &value,
              std::int64_t lease);
   void erase(const std::string &key);
-  nlohmann::json itemJson(const std::string &key, const Item &item) const;
+  static nlohmann::json itemJson(const std::string &key, const Item &item,
+                                 const View &view);
   void expireLeases();
 
   std::mutex mutex_;
@@ -84,6 +93,28 @@
   std::map<std::string, Millis> lostWrites_;
   std::thread expiry_;
   Listener listener_;
+  std::vector<std::unique_ptr<Listener>> views_;
+};
+
+/// A way to an address. Channels on it may fall silent.
+class Proxy {
+public:
+  Proxy(std::string ip, int port);
+
+  int port() const { return listener_.port(); }
+  /// Nothing passes any more on the channels that are open, which end after
+  /// `timeout`, as by the sender's TCP_USER_TIMEOUT. New ones work.
+  void silenceOpenChannels(Millis timeout);
+
+private:
+  void forward(Connection *connection);
+
+  std::string ip_;
+  int targetPort_;
+  std::mutex mutex_;
+  Clock::time_point silentSince_;
+  Millis timeout_{0};
+  Listener listener_;
 };
 
 /// Process of the system under test, started with the command of the deploy
@@ -95,12 +126,14 @@
        nlohmann::json bounds = nlohmann::json::object());
   ~Host() { kill(); }
 
+  void setStorePort(int port) { storePort_ = port; }
   void start();
   void kill();
   /// Waits until the host answers readiness probes with 200.
   bool waitUntilReady(Millis timeout);
   const std::string &ip() const { return ip_; }
   int callerPort() const { return callerPort_; }
+  int peerPort() const { return peerPort_; }
   const std::string &name() const { return name_; }
   pid_t pid() const { return pid_; }
   /// Resident memory in megabytes.
--- a/review/stand_ins_2/model_worker.cpp
+++ b/review/stand_ins_2/model_worker.cpp
@@ -88,6 +88,10 @@
   const int first = last.empty() ? 1 : std::stoi(last) + 1;
   record_->line("worker " + id_ + " (" + version_ + ") runs " + attempt +
                 " from event " + std::to_string(first));
+  for (Millis waited(0); waited < firstEventTime_; waited += Millis(10)) {
+    if (!listener_.isRunning() || connection->hasInput(Millis(10)))
+      return;
+  }
   connection->write("HTTP/1.1 200 OK\r\nAttempt-Id: " + attempt +
                     "\r\nResponse-Signature: signed." + id_ +
                     "\r\nContent-Type: text/event-stream\r\n"
--- a/review/stand_ins_2/model_worker.h
+++ b/review/stand_ins_2/model_worker.h
@@ -16,6 +16,8 @@
               Record *record);
   ~ModelWorker() { crash(); }
 
+  /// Time from the begin of a request to its first event.
+  void setFirstEventTime(Millis time) { firstEventTime_ = time; }
   void start(const std::string &version);
   void crash();
 
@@ -25,6 +27,7 @@
 
   std::string id_;
   int eventsPerStream_;
+  Millis firstEventTime_{0};
   Store *store_;
   Record *record_;
   Listener listener_;
