A corrected stream origin survives a silent channel between two hosts

A host dispatched them at v1 and said so; the upstream crashed before their first events, the host began them anew at v2, and a channel that had fallen silent swallowed what it said of that. Callers who resumed at the other host were served at v1.

Cause: origins were announced once, whether or not they arrived, and a host that held one believed it, bound or not.

Change: - A take-up believes an origin of a peer at once only if it is bound. It asks for any other (StreamOriginCheck) until a bound one comes or the host that recorded it replies; replies name that host, so that one of a large fleet that is not a holder asks it as well. If neither replies, it goes by the version history or the store, or is refused with Retry-After while the recorder is listed. - Bound origins are announced in every pool, so that hosts rarely need to ask. The test of StreamOrigins that expected otherwise now expects the announcement with the first event, and none when the pool is to be stored; it is as strict. - A host that hands a request over, or ends one before its first event, forgets the origin that it recorded for it, which may be wrong by then. - Messages that may be lost are noticed: PeerMesh also reports connections that it replaced and whose closing handshake was not completed, and messages that it dropped. MissedDeliveries then has the host send the peer its state, the origins since and the ends of permits again.

--- a/include/auburnspring/decision/peer_message.h
+++ b/include/auburnspring/decision/peer_message.h
@@ -248,6 +248,9 @@
   std::uint64_t number = 0;
   /// Not set if the sender does not know the stream.
   std::optional<StreamOrigin> origin;
+  /// The host that recorded the origin, which may be the sender; empty if the
+  /// sender does not know it or is of an earlier release.
+  std::string recorder;
 };
 
 /// Crashes that the sender has observed, for the holders of their parts.
--- a/include/auburnspring/decision/stream_origin_reads.h
+++ b/include/auburnspring/decision/stream_origin_reads.h
@@ -16,6 +16,7 @@
 class StreamOriginReads {
 public:
   enum class Outcome {
+    /// Its origin is settled.
     Known,
     /// Its origin is not in the store.
     Unknown,
--- a/include/auburnspring/decision/stream_origins.h
+++ b/include/auburnspring/decision/stream_origins.h
@@ -32,20 +32,31 @@
   struct Found {
     StreamOrigin origin;
     Source source = Source::Own;
+    /// Peer that recorded it; empty for this host and if it is not known.
+    std::string recorder;
+
+    /// Nothing that a peer knows can correct it. A host learns of its own
+    /// dispatches without messages, of those of its peers it may not.
+    bool isSettled() const { return origin.isBound || source == Source::Own; }
   };
 
   /// Records the origin of a stream of this host, to be announced unless it is
   /// known. True if it differs from one that may have been announced.
   bool record(StreamOrigin origin, TimePoint now);
+  /// Forgets what this host recorded of a stream that is not bound: from now on
+  /// another host decides where it begins.
+  void disown(const std::string &id);
   /// Adds an origin that a peer recorded, unless a newer one is known.
-  void learn(StreamOrigin origin, TimePoint now);
+  void learn(StreamOrigin origin, TimePoint now, std::string recorder = "");
   std::optional<Found> find(const std::string &id, TimePoint now) const;
 
   /// Origins recorded since the last call, with the time that they have left.
   std::vector<StreamOrigin> takePending(TimePoint now);
+  /// Origins that this host has recorded or changed since then.
+  std::vector<StreamOrigin> ownSince(TimePoint since, TimePoint now) const;
 
   /// Sets the pools whose streams' origins are to outlast all hosts. Those that
-  /// are bound are announced as such and handed out by takeUnstored().
+  /// are bound are handed out by takeUnstored().
   void setStoredPools(std::set<std::string> pools, TimePoint now);
   bool mustStore(const StreamOrigin &origin) const {
     return origin.isBound && storedPools_.count(origin.pool) > 0;
@@ -66,12 +77,15 @@
   struct Entry {
     StreamOrigin origin;
     Source source = Source::Own;
+    std::string recorder;
+    TimePoint recordedAt;
     TimePoint expiresAt;
     bool isStored = false;
   };
 
   void addPending(const std::string &id);
-  void insert(StreamOrigin origin, Source source, TimePoint now);
+  void insert(StreamOrigin origin, Source source, std::string recorder,
+              TimePoint now);
   void erase(const std::string &id);
 
   std::unordered_map<std::string, Entry> entries_;
--- a/include/auburnspring/peer/peer_mesh.h
+++ b/include/auburnspring/peer/peer_mesh.h
@@ -34,8 +34,9 @@
     /// False if a restarted host may have a lower incarnation than before,
     /// since its wall clock may have been set back.
     bool incarnationsIncrease = true;
-    /// Called on the mesh's I/O thread when a connection to a host can't be
-    /// opened or is lost without having been closed by this mesh.
+    /// Called on the mesh's I/O thread when messages to a host may be lost: a
+    /// connection can't be opened, is lost, or ends without the host having
+    /// confirmed that it read all of it; or a message was dropped.
     std::function<void(const std::string &host)> onConnectionLost;
   };
 
--- a/include/auburnspring/serving/request_limit_exchange.h
+++ b/include/auburnspring/serving/request_limit_exchange.h
@@ -13,6 +13,7 @@
 #include <asio/io_context.hpp>
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -68,6 +69,9 @@
   void onPermitRelease(const PermitRelease &release);
   void onHeartbeat(const std::string &from,
                    const std::vector<UpstreamStatement> &statements);
+  /// Sends again which permits have ended since then, in case the peer gave
+  /// them.
+  void repeat(const std::string &host, TimePoint since);
   /// Limits for the next heartbeat.
   std::vector<UpstreamStatement> statementsForHeartbeat();
 
@@ -104,12 +108,19 @@
   void finish(std::uint64_t number, const PermitReply &reply);
   void onTimeout(std::uint64_t number);
 
+  struct SentRelease {
+    std::string giver;
+    PermitRelease release;
+    TimePoint at;
+  };
+
   asio::io_context &io_;
   PeerNetwork *peers_;
   UpstreamRegistry *registry_;
   ServingMetrics *metrics_;
   std::mt19937_64 random_;
   std::map<std::uint64_t, Pending> pending_;
+  std::deque<SentRelease> sentReleases_;
   struct Giving {
     TimePoint checkedAt;
     std::optional<TimePoint> since;
--- a/include/auburnspring/serving/serving_host.h
+++ b/include/auburnspring/serving/serving_host.h
@@ -1,6 +1,7 @@
 #ifndef AUBURNSPRING_SERVING_SERVING_HOST_H
 #define AUBURNSPRING_SERVING_SERVING_HOST_H
 
+#include "auburnspring/decision/missed_deliveries.h"
 #include "auburnspring/decision/store_watcher_selector.h"
 #include "auburnspring/http/server.h"
 #include "auburnspring/http/timer.h"
@@ -77,6 +78,10 @@
   void sendVersionUpdates();
   /// The next heartbeat, with what has not been announced yet.
   HostHeartbeat takeHeartbeat();
+  /// A heartbeat that holds nothing that is announced only once.
+  HostHeartbeat stateHeartbeat();
+  /// Sends again what peers may have missed with a connection that was lost.
+  void repeatMissed(TimePoint now);
   /// Notes which software versions the pools show.
   void noteVersions(TimePoint now);
   /// Has the origins of streams stored whose pools have several versions.
@@ -119,9 +124,11 @@
   http::Server metricsServer_;
   http::Timer tickTimer_;
   std::unordered_map<ActiveRequest *, std::shared_ptr<ActiveRequest>> requests_;
+  MissedDeliveries missedDeliveries_;
   StoreWatcherSelector watcherSelector_;
   ReplicaExchange replicaExchange_;
   std::uint64_t ticks_ = 0;
+  std::uint64_t repeatedDeliveries_ = 0;
   /// When the replica was last known to be current, as of the latest tick: an
   /// item that it did not have then was written later.
   TimePoint replicaConfirmedAt_;
--- a/include/auburnspring/serving/stream_origin_exchange.h
+++ b/include/auburnspring/serving/stream_origin_exchange.h
@@ -1,6 +1,7 @@
 #ifndef AUBURNSPRING_SERVING_STREAM_ORIGIN_EXCHANGE_H
 #define AUBURNSPRING_SERVING_STREAM_ORIGIN_EXCHANGE_H
 
+#include "auburnspring/decision/stream_origin_check.h"
 #include "auburnspring/decision/stream_origin_holders.h"
 #include "auburnspring/decision/stream_origins.h"
 #include "auburnspring/http/timer.h"
@@ -29,8 +30,15 @@
   static constexpr Duration ReplyTimeout = std::chrono::milliseconds(150);
   static constexpr int MaxRounds = 3;
 
-  /// Receives the origin, or nothing if no peer knows it.
+  /// Receives the origin, or nothing if no peer knows it for certain.
   using Handler = std::function<void(std::optional<StreamOrigin>)>;
+  struct Counters {
+    std::uint64_t queries = 0;
+    /// Queries that began from an origin which was not settled.
+    std::uint64_t checks = 0;
+    /// Queries that have ended without an origin.
+    std::uint64_t unanswered = 0;
+  };
 
   StreamOriginExchange(asio::io_context &io, PeerNetwork *peers)
       : io_(io), peers_(peers) {}
@@ -39,15 +47,27 @@
   /// peers may know is sent at once, and to the host that writes it to the
   /// store that it is bound.
   void record(StreamOrigin origin);
+  /// Another host is to decide where the stream begins.
+  void disown(const std::string &id) { origins_.disown(id); }
   std::optional<StreamOrigins::Found> find(const std::string &id) const;
+  /// What is known of the origin is not settled, and the host that recorded it
+  /// is still listed, so that it may yet reply.
+  bool maySettle(const std::string &id) const;
   /// Asks the peers that may know the stream. The handler may be called before
   /// this returns.
   void query(const std::string &id, Handler handler);
 
-  void onOrigins(const std::vector<StreamOrigin> &origins);
+  /// Origins that the peer has recorded, or that come from the store if `from`
+  /// is empty.
+  void onOrigins(const std::string &from,
+                 const std::vector<StreamOrigin> &origins);
   void onQuery(const std::string &from, const StreamOriginQuery &query);
   void onReply(const std::string &from, const StreamOriginReply &reply);
 
+  /// Sends again what this host has recorded since then and the peer is to
+  /// know.
+  void repeat(const std::string &host, TimePoint since);
+
   /// Origins for the next heartbeat.
   std::vector<StreamOrigin> takeForHeartbeat();
   /// Sends what is to be announced outside of heartbeats.
@@ -69,15 +89,16 @@
   bool heartbeatsReachAll() const;
 
   const StreamOrigins &origins() const { return origins_; }
+  const Counters &counters() const { return counters_; }
   std::size_t size() const { return origins_.size(); }
 
 private:
   struct Query {
-    explicit Query(asio::io_context &io) : timer(io) {}
+    Query(asio::io_context &io, StreamOriginCheck initialCheck)
+        : check(std::move(initialCheck)), timer(io) {}
     std::string id;
     Handler handler;
-    /// Peers that have not replied.
-    std::set<std::string> missing;
+    StreamOriginCheck check;
     int rounds = 0;
     http::Timer timer;
   };
@@ -87,15 +108,18 @@
   /// The host that writes the origin to the store; empty if there is none.
   std::string writerOf(const std::string &id) const;
   std::vector<std::string> peersToAsk(const std::string &id) const;
+  /// The peer is to hold the origin, or to write it to the store.
+  bool concerns(const std::string &host, const StreamOrigin &origin) const;
   /// Asks those that have not replied, unless the time is over.
   void startRound(std::uint64_t number);
-  void finishQuery(std::uint64_t number, std::optional<StreamOrigin> origin);
+  void finishQuery(std::uint64_t number);
 
   asio::io_context &io_;
   PeerNetwork *peers_;
   StreamOrigins origins_;
   std::map<std::uint64_t, Query> queries_;
   std::uint64_t nextQuery_ = 1;
+  Counters counters_;
   bool hasStoredPools_ = false;
   std::set<std::string> withoutStore_;
   std::optional<StreamOriginHolders> writers_;
--- a/src/auburnspring/decision/stream_origin_reads.cpp
+++ b/src/auburnspring/decision/stream_origin_reads.cpp
@@ -26,7 +26,8 @@
   std::vector<Decision> decisions;
   std::vector<Held> stillHeld;
   for (Held &held : held_) {
-    const bool isKnown = origins.find(held.id, now).has_value();
+    const auto found = origins.find(held.id, now);
+    const bool isKnown = found && found->isSettled();
     // The read may have missed what was written after it began.
     if (!isKnown && succeeded && held.since > startedAt_) {
       stillHeld.push_back(std::move(held));
--- a/src/auburnspring/decision/stream_origins_test.cpp
+++ b/src/auburnspring/decision/stream_origins_test.cpp
@@ -110,14 +110,15 @@
   origins.record(origin("r", "v1"), at(0));
   peer.learn(origins.takePending(at(1)).at(0), at(1));
   CHECK_FALSE(origins.record(bound, at(2)));
-  CHECK(origins.takePending(at(3)).empty());
+  const auto pending = origins.takePending(at(3));
+  REQUIRE(pending.size() == 1);
+  CHECK(pending[0].isBound);
   CHECK(origins.takeUnstored(at(3)).empty());
   // Streams that began before the pool called for it are included.
   origins.setStoredPools({"models"}, at(4));
   CHECK(origins.takeUnstored(at(4)).size() == 1);
   CHECK(origins.takeUnstored(at(4)).empty());
-  const auto pending = origins.takePending(at(4));
-  REQUIRE(pending.size() == 1);
+  CHECK(origins.takePending(at(4)).empty());
   peer.setStoredPools({"models"}, at(4));
   peer.learn(pending[0], at(4));
   CHECK(peer.takeUnstored(at(4)).size() == 1);
@@ -146,6 +147,50 @@
   CHECK(origins.takeUnstored(at(2)).size() == 2);
 }
 
+// Guards against ORDER: a correction that a peer missed must reach it later.
+TEST_CASE("what this host has recorded since a time is handed out again") {
+  StreamOrigins origins;
+  origins.record(origin("r", "v1"), at(0));
+  origins.record(origin("s", "v1"), at(100));
+  origins.learn(origin("t", "v1", 1), at(100), "peer");
+  origins.record(origin("r", "v2"), at(200));
+  origins.takePending(at(200));
+  const auto changed = origins.ownSince(at(150), at(300));
+  REQUIRE(changed.size() == 1);
+  CHECK(changed[0].id == "r");
+  CHECK(changed[0].softwareVersion == "v2");
+  CHECK(origins.ownSince(at(100), at(300)).size() == 2);
+  CHECK(origins.ownSince(at(0), at(20150)).size() == 1);
+}
+
+TEST_CASE("only an origin that is bound, or this host's own, is settled") {
+  StreamOrigins origins;
+  origins.record(origin("own", "v1"), at(0));
+  origins.learn(origin("r", "v1", 1), at(0), "peer");
+  CHECK(origins.find("own", at(0))->isSettled());
+  CHECK_FALSE(origins.find("r", at(0))->isSettled());
+  CHECK(origins.find("r", at(0))->recorder == "peer");
+  StreamOrigin bound = origin("r", "v2");
+  bound.isBound = true;
+  origins.learn(bound, at(1), "peer");
+  CHECK(origins.find("r", at(1))->isSettled());
+}
+
+// Guards against ORDER: a request that was handed over begins at another host.
+TEST_CASE("an origin that is not bound can be disowned") {
+  StreamOrigins origins;
+  origins.record(origin("r", "v1"), at(0));
+  origins.learn(origin("s", "v1", 1), at(0), "peer");
+  StreamOrigin bound = origin("t", "v1");
+  bound.isBound = true;
+  origins.record(bound, at(0));
+  for (const char *id : {"r", "s", "t", "unheard-of"})
+    origins.disown(id);
+  CHECK(versionOf(origins, "r", at(1)).empty());
+  CHECK(versionOf(origins, "s", at(1)) == "v1");
+  CHECK(versionOf(origins, "t", at(1)) == "v1");
+}
+
 TEST_CASE("hosts that learn the same origins in any order agree") {
   rc::check([] {
     const auto revisions = *rc::gen::container<std::vector<std::uint64_t>>(
--- a/src/auburnspring/peer/peer_mesh.cpp
+++ b/src/auburnspring/peer/peer_mesh.cpp
@@ -64,6 +64,9 @@
   OutboundConnection *openConnection(const std::string &host,
                                      const Endpoint &endpoint);
   void closeConnection(const std::string &host);
+  /// A connection that this mesh has closed is gone.
+  void onRetired(const std::string &host,
+                 const WsClient::connection_ptr &connection);
   void setUserTimeout(const WsClient::connection_ptr &connection);
   void closeLeastRecentlyUsed();
   void onOpen(const std::string &host,
@@ -77,6 +80,8 @@
   /// Drops what waits for a connection that is given up.
   void dropQueued(const std::string &host, const OutboundConnection &outbound);
   void reportLost(const std::string &host);
+  /// Ends the cycle of a connection and its handlers, which own it.
+  void clearHandlers(const WsClient::connection_ptr &connection);
   void onPayload(const std::string &bytes);
   bool isReplay(const PeerEnvelope &envelope);
 
@@ -175,8 +180,10 @@
   outbound->lastUsed = Clock::now();
   if (outbound->open)
     return write(host, outbound, bytes);
-  if (outbound->queuedMessages.size() >= MaxQueuedMessages)
-    return drop(host, bytes.size(), "not_connected");
+  if (outbound->queuedMessages.size() >= MaxQueuedMessages) {
+    drop(host, bytes.size(), "not_connected");
+    return reportLost(host);
+  }
   outbound->queuedMessages.push_back(bytes);
 }
 
@@ -250,11 +257,34 @@
 void PeerMesh::Impl::closeConnection(const std::string &host) {
   const auto found = connections_.find(host);
   const WsClient::connection_ptr connection = found->second.connection;
+  const bool hasQueued = !found->second.queuedMessages.empty();
   dropQueued(host, found->second);
   connections_.erase(found);
-  websocketpp::lib::error_code ignored;
-  connection->close(websocketpp::close::status::normal, "", ignored);
-  // The handlers own the connection; clearing them breaks the cycle.
+  const auto onEnd = [this, host,
+                      connection](const websocketpp::connection_hdl &) {
+    onRetired(host, connection);
+  };
+  connection->set_fail_handler(onEnd);
+  connection->set_close_handler(onEnd);
+  websocketpp::lib::error_code error;
+  connection->close(websocketpp::close::status::normal, "", error);
+  if (error)
+    clearHandlers(connection);
+  if (hasQueued)
+    reportLost(host);
+}
+
+void PeerMesh::Impl::onRetired(const std::string &host,
+                               const WsClient::connection_ptr &connection) {
+  // A peer closes its side once it has read all that was sent before.
+  if (connection->get_remote_close_code() ==
+      websocketpp::close::status::abnormal_close)
+    reportLost(host);
+  // Posted, since the handler that is running owns the connection.
+  io_.post([this, connection] { clearHandlers(connection); });
+}
+
+void PeerMesh::Impl::clearHandlers(const WsClient::connection_ptr &connection) {
   connection->set_open_handler(nullptr);
   connection->set_tcp_post_init_handler(nullptr);
   connection->set_fail_handler(nullptr);
@@ -291,19 +321,16 @@
     reportLost(host);
   }
   // Posted, since the handler that is running owns the connection.
-  io_.post([connection] {
-    connection->set_open_handler(nullptr);
-    connection->set_tcp_post_init_handler(nullptr);
-    connection->set_fail_handler(nullptr);
-    connection->set_close_handler(nullptr);
-  });
+  io_.post([this, connection] { clearHandlers(connection); });
 }
 
 void PeerMesh::Impl::write(const std::string &host,
                            OutboundConnection *outbound,
                            const std::string &bytes) {
-  if (outbound->connection->get_buffered_amount() > MaxBufferedBytes)
-    return drop(host, bytes.size(), "backlog");
+  if (outbound->connection->get_buffered_amount() > MaxBufferedBytes) {
+    drop(host, bytes.size(), "backlog");
+    return reportLost(host);
+  }
   const websocketpp::lib::error_code error =
       outbound->connection->send(bytes, websocketpp::frame::opcode::binary);
   // The end of the connection is reported by itself.
--- a/src/auburnspring/serving/active_request.cpp
+++ b/src/auburnspring/serving/active_request.cpp
@@ -200,6 +200,9 @@
     context_->pieceDispatcher->cancel(request_.id);
     releaseResults(plan_.takeHeldResults());
   }
+  // No caller resumes a stream of which it has no event from here.
+  if (!streamStarted_)
+    context_->streamOrigins->disown(request_.id);
   const TimePoint now = steadyNow();
   const Duration elapsed = now - exchange_->receivedAt;
   const std::string route = route_ == nullptr ? "" : route_->name;
--- a/src/auburnspring/serving/active_request_hand_over.cpp
+++ b/src/auburnspring/serving/active_request_hand_over.cpp
@@ -37,6 +37,9 @@
             {"last_event", static_cast<long>(lastEventId_.value_or(-1))},
             {"left_ms", toMillis(timeLeft())}});
   context_->metrics.countHandOver("sent");
+  // An attempt in progress here records its origin again if it comes first.
+  if (!streamStarted_ && route_->isStream)
+    context_->streamOrigins->disown(request_.id);
   Attempt *attempt = addAttempt(helper, {});
   attempt->setHandOver();
   http::RequestHead head = context_->dialect->handOverHead(
--- a/src/auburnspring/serving/active_request_resume.cpp
+++ b/src/auburnspring/serving/active_request_resume.cpp
@@ -28,7 +28,8 @@
   const std::string &id = request_.resumedId;
   if (id.empty())
     return inferOrigin(&ActiveRequest::refuseUnnamedOrigin);
-  if (const auto found = context_->streamOrigins->find(id))
+  const auto found = context_->streamOrigins->find(id);
+  if (found && found->isSettled())
     return resumeAt(found->origin, sourceName(found->source));
   context_->streamOrigins->query(
       id, handlers_.bind([this](const std::optional<StreamOrigin> &origin) {
@@ -73,10 +74,12 @@
           [this](Outcome outcome, const std::optional<StreamOrigin> &origin) {
             if (origin)
               return resumeAt(*origin, "store");
+            const bool mayCome =
+                outcome == Outcome::Unread ||
+                context_->streamOrigins->maySettle(request_.resumedId);
             refuseUnknownOrigin(
-                outcome == Outcome::Unread
-                    ? std::make_optional(jittered(DefaultRetryAfter))
-                    : std::nullopt);
+                mayCome ? std::make_optional(jittered(DefaultRetryAfter))
+                        : std::nullopt);
           }));
 }
 
@@ -124,9 +127,10 @@
       request_.resumedId.empty() ? request_.id : request_.resumedId;
   const Duration patience =
       std::max(route_->timeout, request_.timeLeft.value_or(Duration(0)));
-  context_->streamOrigins->record({id, poolName_,
-                                   upstream.entry.softwareVersion, 0, patience,
-                                   streamStarted_});
+  // The version of a resumed stream has been found out before.
+  const bool isBound = streamStarted_ || softwareVersion_.has_value();
+  context_->streamOrigins->record(
+      {id, poolName_, upstream.entry.softwareVersion, 0, patience, isBound});
 }
 
 EngineChoice
--- a/src/auburnspring/serving/request_limit_exchange.cpp
+++ b/src/auburnspring/serving/request_limit_exchange.cpp
@@ -21,6 +21,8 @@
 constexpr Duration OutOfTouchTime = std::chrono::milliseconds(1500);
 /// How often it is checked which host gives the permits.
 constexpr Duration GiverCheckInterval = std::chrono::milliseconds(100);
+/// Beyond this number the oldest releases are not sent again.
+constexpr std::size_t MaxSentReleases = 256;
 /// Longest time for which a permit is held.
 constexpr Duration MaxHoldTime = std::chrono::seconds(60);
 
@@ -274,12 +276,21 @@
         PermitRelease release = ended;
         release.end = end;
         if (giver == peers_->self())
-          onPermitRelease(release);
-        else
-          peers_->send(giver, release);
+          return onPermitRelease(release);
+        sentReleases_.push_back({giver, release, steadyNow()});
+        if (sentReleases_.size() > MaxSentReleases)
+          sentReleases_.pop_front();
+        peers_->send(giver, release);
       }));
 }
 
+void RequestLimitExchange::repeat(const std::string &host, TimePoint since) {
+  // A second one of the same permit changes nothing.
+  for (const SentRelease &sent : sentReleases_)
+    if (sent.giver == host && sent.at >= since)
+      peers_->send(host, sent.release);
+}
+
 PermitLeasePtr RequestLimitExchange::takeOwn(const UpstreamStatePtr &upstream,
                                              Duration holdFor) {
   const TimePoint now = steadyNow();
--- a/src/auburnspring/serving/serving_host.cpp
+++ b/src/auburnspring/serving/serving_host.cpp
@@ -62,6 +62,7 @@
             onPeerMessage(from, message);
           },
           [this](const std::string &host) {
+            missedDeliveries_.onLost(host, steadyNow());
             pieceDispatcher_.onPeerDisconnected(host);
             replicaExchange_.onPeerDisconnected(host);
           }),
@@ -357,7 +358,7 @@
   if (const auto *update = std::get_if<StoreVersionUpdate>(&message))
     return onVersionUpdate(from, *update);
   if (const auto *update = std::get_if<StreamOriginsUpdate>(&message))
-    return streamOrigins_.onOrigins(update->origins);
+    return streamOrigins_.onOrigins(from, update->origins);
   if (const auto *query = std::get_if<StreamOriginQuery>(&message))
     return streamOrigins_.onQuery(from, *query);
   if (const auto *reply = std::get_if<StreamOriginReply>(&message))
@@ -400,7 +401,7 @@
                                load.reservedTokens, now};
   for (const UpstreamNotice &notice : heartbeat.notices)
     applyUpstreamNotice(notice, from, &context_.registry, now);
-  streamOrigins_.onOrigins(heartbeat.origins);
+  streamOrigins_.onOrigins(from, heartbeat.origins);
   streamOrigins_.setStoreReachable(from, heartbeat.storeReachable);
   partGuard_.onHeartbeat(from, heartbeat.quarantines);
   requestLimits_.onHeartbeat(from, heartbeat.statements);
@@ -465,8 +466,17 @@
 }
 
 HostHeartbeat ServingHost::takeHeartbeat() {
-  HostHeartbeat heartbeat;
+  HostHeartbeat heartbeat = stateHeartbeat();
   heartbeat.origins = streamOrigins_.takeForHeartbeat();
+  for (UpstreamStatement &statement :
+       context_.speeds.statements().takeForHeartbeat(steadyNow(),
+                                                     &context_.random))
+    heartbeat.statements.push_back(std::move(statement));
+  return heartbeat;
+}
+
+HostHeartbeat ServingHost::stateHeartbeat() {
+  HostHeartbeat heartbeat;
   heartbeat.quarantines = partGuard_.statesForHeartbeat();
   heartbeat.statements = requestLimits_.statementsForHeartbeat();
   heartbeat.reach = reach_.ownReach(static_cast<std::int64_t>(requests_.size()),
@@ -478,9 +488,6 @@
   heartbeat.isLeaving = isStopping();
   heartbeat.configurationVersion = configurationVersion();
   const TimePoint now = steadyNow();
-  for (UpstreamStatement &statement :
-       context_.speeds.statements().takeForHeartbeat(now, &context_.random))
-    heartbeat.statements.push_back(std::move(statement));
   for (const auto &entry : context_.registry.all()) {
     const UpstreamState &upstream = *entry.second;
     if (upstream.inFlight > 0)
@@ -579,6 +586,12 @@
   metrics.set("stage_jobs_outstanding",
               static_cast<double>(pieceDispatcher_.outstandingCount()));
   metrics.set("stream_origins", static_cast<double>(streamOrigins_.size()));
+  const StreamOriginExchange::Counters &origins = streamOrigins_.counters();
+  metrics.set("origin_queries", static_cast<double>(origins.queries));
+  metrics.set("origin_checks", static_cast<double>(origins.checks));
+  metrics.set("origin_queries_unanswered",
+              static_cast<double>(origins.unanswered));
+  metrics.set("peer_repetitions", static_cast<double>(repeatedDeliveries_));
   const StreamOriginStore::Counters &stored = originStore_.counters();
   metrics.set("origin_pages_written", static_cast<double>(stored.pagesWritten));
   metrics.set("origin_writes_failed", static_cast<double>(stored.writesFailed));
@@ -644,6 +657,7 @@
     peers_.broadcast(takeHeartbeat(), peers_.peerCount());
   else if (ticks_ % TicksPerHeartbeat == 0)
     peers_.broadcast(takeHeartbeat(), PeerNetwork::HeartbeatFanout);
+  repeatMissed(now);
   streamOrigins_.tick();
   partGuard_.tick();
   noteVersions(now);
@@ -677,6 +691,23 @@
     checkStopped();
 }
 
+void ServingHost::repeatMissed(TimePoint now) {
+  const auto isAvailable = [&](const std::string &host) {
+    return peers_.isReachable(host, now);
+  };
+  for (const MissedDeliveries::Due &due :
+       missedDeliveries_.takeDue(isAvailable, now)) {
+    ++repeatedDeliveries_;
+    logEvent(LogLevel::Info, "peer_messages_repeated",
+             {{"peer", due.host}, {"since_ms", toMillis(now - due.since)}});
+    // In a small fleet the next heartbeat holds all but the rest.
+    if (!streamOrigins_.heartbeatsReachAll())
+      peers_.send(due.host, stateHeartbeat());
+    streamOrigins_.repeat(due.host, due.since);
+    requestLimits_.repeat(due.host, due.since);
+  }
+}
+
 void ServingHost::noteVersions(TimePoint now) {
   PoolVersionHistory &history = context_.versionHistory;
   history.onConfirmed(follower_.versionAge() < MaxConfirmedAge &&
--- a/src/auburnspring/serving/stream_origin_exchange.cpp
+++ b/src/auburnspring/serving/stream_origin_exchange.cpp
@@ -55,65 +55,102 @@
   return asked;
 }
 
+bool StreamOriginExchange::maySettle(const std::string &id) const {
+  const auto found = find(id);
+  return found && !found->isSettled() && peers_->isListed(found->recorder);
+}
+
 void StreamOriginExchange::query(const std::string &id, Handler handler) {
-  const std::vector<std::string> asked = peersToAsk(id);
-  if (asked.empty())
-    return handler(std::nullopt);
+  const auto known = find(id);
+  ++counters_.queries;
+  counters_.checks += known && !known->isSettled() ? 1 : 0;
+  StreamOriginCheck check(peers_->self(), known, peersToAsk(id));
   const std::uint64_t number = nextQuery_++;
-  Query &query = queries_.try_emplace(number, io_).first->second;
+  Query &query =
+      queries_.try_emplace(number, io_, std::move(check)).first->second;
   query.id = id;
   query.handler = std::move(handler);
-  query.missing.insert(asked.begin(), asked.end());
+  if (query.check.isOver())
+    return finishQuery(number);
   startRound(number);
 }
 
 void StreamOriginExchange::startRound(std::uint64_t number) {
   Query &query = queries_.at(number);
   if (query.rounds++ == MaxRounds)
-    return finishQuery(number, std::nullopt);
+    return finishQuery(number);
   query.timer.startAfter(ReplyTimeout / MaxRounds,
                          [this, number] { startRound(number); });
-  for (const std::string &host : query.missing)
+  for (const std::string &host : query.check.missing())
     peers_->send(host, StreamOriginQuery{number, query.id});
 }
 
-void StreamOriginExchange::finishQuery(std::uint64_t number,
-                                       std::optional<StreamOrigin> origin) {
-  const auto found = queries_.find(number);
-  if (found == queries_.end())
-    return;
-  const Handler handler = std::move(found->second.handler);
-  queries_.erase(found);
-  handler(std::move(origin));
+void StreamOriginExchange::finishQuery(std::uint64_t number) {
+  const auto node = queries_.extract(number);
+  const std::optional<StreamOrigin> origin = node.mapped().check.origin();
+  counters_.unanswered += origin ? 0 : 1;
+  node.mapped().handler(origin);
 }
 
-void StreamOriginExchange::onOrigins(const std::vector<StreamOrigin> &origins) {
+void StreamOriginExchange::onOrigins(const std::string &from,
+                                     const std::vector<StreamOrigin> &origins) {
   const TimePoint now = steadyNow();
   for (const StreamOrigin &origin : origins)
-    origins_.learn(origin, now);
+    origins_.learn(origin, now, from);
 }
 
 void StreamOriginExchange::onQuery(const std::string &from,
                                    const StreamOriginQuery &query) {
   StreamOriginReply reply;
   reply.number = query.number;
-  if (const auto found = find(query.id))
+  if (const auto found = find(query.id)) {
     reply.origin = found->origin;
+    reply.recorder = found->source == StreamOrigins::Source::Own
+                         ? peers_->self()
+                         : found->recorder;
+  }
   peers_->send(from, std::move(reply));
 }
 
 void StreamOriginExchange::onReply(const std::string &from,
                                    const StreamOriginReply &reply) {
   if (reply.origin)
-    origins_.learn(*reply.origin, steadyNow());
+    origins_.learn(*reply.origin, steadyNow(), reply.recorder);
   const auto found = queries_.find(reply.number);
   if (found == queries_.end())
     return;
+  StreamOriginCheck &check = found->second.check;
+  std::optional<StreamOrigins::Found> known;
   if (reply.origin && reply.origin->id == found->second.id)
-    return finishQuery(reply.number, reply.origin);
-  found->second.missing.erase(from);
-  if (found->second.missing.empty())
-    finishQuery(reply.number, std::nullopt);
+    known = {*reply.origin, StreamOrigins::Source::Peer, reply.recorder};
+  const std::set<std::string> before = check.missing();
+  check.onReply(from, known);
+  if (check.isOver())
+    return finishQuery(reply.number);
+  // The recorder, named by a host that holds the origin, need not wait for the
+  // next round.
+  for (const std::string &host : check.missing())
+    if (before.count(host) == 0)
+      peers_->send(host, StreamOriginQuery{reply.number, found->second.id});
+}
+
+bool StreamOriginExchange::concerns(const std::string &host,
+                                    const StreamOrigin &origin) const {
+  if (heartbeatsReachAll() || host == writerOf(origin.id))
+    return true;
+  const std::vector<BatchingCandidate> hosts = peers_->candidates(steadyNow());
+  const std::vector<std::string> holders = StreamOriginHolders(hosts).holders(
+      origin.id, StreamOriginHolders::HolderCount);
+  return std::find(holders.begin(), holders.end(), host) != holders.end();
+}
+
+void StreamOriginExchange::repeat(const std::string &host, TimePoint since) {
+  StreamOriginsUpdate update;
+  for (StreamOrigin &origin : origins_.ownSince(since, steadyNow()))
+    if (concerns(host, origin))
+      update.origins.push_back(std::move(origin));
+  if (!update.origins.empty())
+    peers_->send(host, std::move(update));
 }
 
 std::vector<StreamOrigin> StreamOriginExchange::takeForHeartbeat() {
--- a/src/auburnspring/serving/stream_origin_store.cpp
+++ b/src/auburnspring/serving/stream_origin_store.cpp
@@ -52,16 +52,18 @@
        {"decided", static_cast<unsigned long>(decisions.size())},
        {"held", static_cast<unsigned long>(reads_.heldCount())}});
   for (const StreamOriginReads::Decision &decision : decisions) {
-    const auto found = handlers_.find(decision.number);
-    if (found == handlers_.end())
+    const auto held = handlers_.find(decision.number);
+    if (held == handlers_.end())
       continue;
-    const Handler handler = std::move(found->second);
-    handlers_.erase(found);
-    const auto origin = exchange_->find(decision.id);
-    if (origin)
-      ++counters_.recovered;
-    handler(decision.outcome,
-            origin ? std::make_optional(origin->origin) : std::nullopt);
+    const Handler handler = std::move(held->second);
+    handlers_.erase(held);
+    const auto found = exchange_->find(decision.id);
+    if (decision.outcome != StreamOriginReads::Outcome::Known || !found) {
+      handler(decision.outcome, std::nullopt);
+      continue;
+    }
+    ++counters_.recovered;
+    handler(decision.outcome, found->origin);
   }
 }
 
@@ -78,7 +80,7 @@
   // The pool has shown these versions, whether or not it still does.
   for (const StreamOrigin &origin : *origins)
     history_->onSeen(origin.pool, origin.softwareVersion, steadyNow());
-  exchange_->onOrigins(*origins);
+  exchange_->onOrigins("", *origins);
   exchange_->onStored(*origins);
 }
 
--- a/src/auburnspring/wire/stream_origin_codec.cpp
+++ b/src/auburnspring/wire/stream_origin_codec.cpp
@@ -56,6 +56,8 @@
   nlohmann::json fields = {{"n", reply.number}};
   if (reply.origin)
     fields["origin"] = toJson(*reply.origin);
+  if (!reply.recorder.empty())
+    fields["by"] = reply.recorder;
   return fields;
 }
 
@@ -69,6 +71,8 @@
   const auto found = json.find("origin");
   if (found != json.end())
     reply.origin = readOrigin(*found);
+  // Hosts of an earlier release don't say so.
+  reply.recorder = json.value("by", std::string());
   return reply;
 }
 
--- a/src/auburnspring/wire/stream_origin_codec_test.cpp
+++ b/src/auburnspring/wire/stream_origin_codec_test.cpp
@@ -46,11 +46,26 @@
   const auto query = roundTrip(StreamOriginQuery{7, "9c41"});
   CHECK(query.number == 7);
   CHECK(query.id == "9c41");
-  const auto known = roundTrip(StreamOriginReply{7, Origin});
+  const auto known = roundTrip(StreamOriginReply{7, Origin, ""});
   CHECK(known.number == 7);
   REQUIRE(known.origin);
   checkEqual(*known.origin, Origin);
-  CHECK_FALSE(roundTrip(StreamOriginReply{8, std::nullopt}).origin);
+  CHECK(known.recorder.empty());
+  CHECK(roundTrip(StreamOriginReply{7, Origin, "host-3"}).recorder == "host-3");
+  CHECK_FALSE(roundTrip(StreamOriginReply{8, std::nullopt, ""}).origin);
+}
+
+// Hosts of an earlier release neither send nor read who recorded an origin.
+TEST_CASE("a reply of an earlier release names no recorder, and reads one that "
+          "does") {
+  nlohmann::json json = toJson(StreamOriginReply{7, Origin, "host-3"});
+  CHECK(json.at("n") == 7);
+  CHECK(json.at("origin").at(0) == Origin.id);
+  json.erase("by");
+  const StreamOriginReply reply = readOriginReply(json);
+  CHECK(reply.recorder.empty());
+  REQUIRE(reply.origin);
+  checkEqual(*reply.origin, Origin);
 }
 
 TEST_CASE("messages of an earlier release hold no origins") {
