Soak: one channel of one pair of hosts falls silent

Fault set 10 picks one open connection of a host's peers and swallows what comes on it, toward the host or both ways, while new ones work: among the mixed faults, and while streams break.

--- a/soak/fault_injector.cpp
+++ b/soak/fault_injector.cpp
@@ -41,7 +41,7 @@
     : io_(io), cluster_(cluster), checker_(checker), random_(seed),
       kinds_(kindsOf(faultSet)), hasLimits_(faultSet >= LimitsFaultSet),
       killsAmidStreams_(faultSet >= KilledStreamsFaultSet),
-      maxGap_(MaxFaultGap) {}
+      hasSilentPairs_(faultSet >= SilentPairFaultSet), maxGap_(MaxFaultGap) {}
 
 std::vector<FaultInjector::Kind> FaultInjector::kindsOf(int faultSet) {
   using Self = FaultInjector;
@@ -100,6 +100,8 @@
        DamagedHeadsFaultSet},
       {"workers_damage_heads", &Self::upstreamsDamageHeads,
        DamagedHeadsFaultSet},
+      {"silence_pair", &Self::silencePair, SilentPairFaultSet},
+      {"silence_pair", &Self::silencePair, SilentPairFaultSet},
   };
   kinds.erase(
       std::remove_if(kinds.begin(), kinds.end(),
@@ -120,6 +122,10 @@
             {"reset_callers", &Self::resetCallersOfFirstHost}};
   if (killsAmidStreams_)
     kinds_.push_back({"kill_all", &Self::killAll});
+  if (hasSilentPairs_) {
+    kinds_.push_back({"silence_pair", &Self::silencePair});
+    kinds_.push_back({"crash_worker", &Self::crashUpstream});
+  }
   if (hasLimits_)
     kinds_.push_back({"workers_name_limits", &Self::upstreamsNameLimits});
   inject(span);
@@ -268,6 +274,12 @@
   disruptFor("world", Duration(0), [] {});
 }
 
+void FaultInjector::silencePair(Duration) {
+  const bool isOneWay = std::bernoulli_distribution(0.5)(random_);
+  randomHost()->peerLink->silenceOneConnection(&random_, isOneWay);
+  disruptFor("world", Duration(0), [] {});
+}
+
 // Store.
 
 void FaultInjector::setStoreFault(StoreFaultMode faultMode, Duration span) {
--- a/soak/fault_injector.h
+++ b/soak/fault_injector.h
@@ -14,7 +14,7 @@
 public:
   /// Kinds of faults that were added together. A seed's sequence depends on the
   /// kinds, so a seed that failed is kept with the set it failed with.
-  static constexpr int LatestFaultSet = 9;
+  static constexpr int LatestFaultSet = 10;
   /// First set with upstreams of several software versions.
   static constexpr int VersionsFaultSet = 3;
   /// From this set on, one prompt part crashes upstreams.
@@ -32,6 +32,8 @@
   static constexpr int StageTimeoutsFaultSet = 8;
   /// From this set on, upstreams respond with damaged heads.
   static constexpr int DamagedHeadsFaultSet = 9;
+  /// From this set on, one channel of one pair of hosts falls silent.
+  static constexpr int SilentPairFaultSet = 10;
 
   FaultInjector(asio::io_context &io, SoakCluster *cluster,
                 GuaranteeChecker *checker, std::uint64_t seed,
@@ -84,6 +86,7 @@
   void resetCallers(Duration span);
   void impairPeerLink(Duration span);
   void blackholePeers(Duration span);
+  void silencePair(Duration span);
   void storeBusy(Duration span);
   void storeUnresponsive(Duration span);
   void storeResets(Duration span);
@@ -121,6 +124,7 @@
   /// Upstreams name request limits in this run.
   bool hasLimits_ = false;
   bool killsAmidStreams_;
+  bool hasSilentPairs_;
   Duration maxGap_;
 };
 
--- a/soak/loopback_proxy.cpp
+++ b/soak/loopback_proxy.cpp
@@ -4,6 +4,7 @@
 #include <asio/write.hpp>
 
 #include <array>
+#include <iterator>
 
 namespace auburnspring::soak {
 
@@ -58,6 +59,10 @@
   }
 
   void blackhole() { blackholed_ = true; }
+  void silence(bool isOneWay) {
+    directions_[0].isSilent = true;
+    directions_[1].isSilent = directions_[1].isSilent || !isOneWay;
+  }
   void detach() { proxy_ = nullptr; }
 
   /// Forwards held bytes after a change of the link's state.
@@ -75,6 +80,8 @@
     std::array<char, BufferBytes> buffer{};
     std::size_t bufferedBytes = 0;
     bool isBlocked = false;
+    /// What comes is swallowed.
+    bool isSilent = false;
   };
 
   bool isCut(std::size_t direction) const {
@@ -100,6 +107,8 @@
 
   void forward(std::size_t direction) {
     Direction &from = directions_[direction];
+    if (from.isSilent)
+      return from.bufferedBytes == 0 ? abort() : read(direction);
     from.isBlocked = isCut(direction);
     if (from.isBlocked)
       return;
@@ -192,4 +201,13 @@
     pipe->blackhole();
 }
 
+void LoopbackProxy::silenceOneConnection(std::mt19937_64 *random,
+                                         bool isOneWay) {
+  if (pipes_.empty())
+    return;
+  std::uniform_int_distribution<std::size_t> any(0, pipes_.size() - 1);
+  (*std::next(pipes_.begin(), static_cast<std::ptrdiff_t>(any(*random))))
+      ->silence(isOneWay);
+}
+
 } // namespace auburnspring::soak
--- a/soak/loopback_proxy.h
+++ b/soak/loopback_proxy.h
@@ -8,6 +8,7 @@
 #include <asio/ip/tcp.hpp>
 
 #include <memory>
+#include <random>
 #include <unordered_set>
 
 namespace auburnspring::soak {
@@ -43,6 +44,9 @@
   /// Stops forwarding on open connections for good, without closing them; new
   /// ones are forwarded.
   void blackholeConnections();
+  /// Swallows what comes on one open connection from now on, toward the target
+  /// or both ways; new ones are forwarded.
+  void silenceOneConnection(std::mt19937_64 *random, bool isOneWay);
 
 private:
   class Pipe;
