Peer mesh: report dropped messages once, at the end of their connection

A report for each dropped message could have its receiver send at once, which may be dropped as well, and so on while a connection is opened. Messages that find the queue full or the backlog too large now mark their connection, whose end is reported as lost.

--- a/include/auburnspring/peer/peer_mesh.h
+++ b/include/auburnspring/peer/peer_mesh.h
@@ -36,7 +36,7 @@
     bool incarnationsIncrease = true;
     /// Called on the mesh's I/O thread when messages to a host may be lost: a
     /// connection can't be opened, is lost, or ends without the host having
-    /// confirmed that it read all of it; or a message was dropped.
+    /// confirmed that it read all of it, or after a message was dropped.
     std::function<void(const std::string &host)> onConnectionLost;
   };
 
--- a/src/auburnspring/peer/peer_mesh.cpp
+++ b/src/auburnspring/peer/peer_mesh.cpp
@@ -54,6 +54,8 @@
   struct OutboundConnection {
     WsClient::connection_ptr connection;
     bool open = false;
+    /// A message for it was not sent.
+    bool hasDropped = false;
     Clock::time_point createdAt;
     Clock::time_point lastUsed;
     std::vector<std::string> queuedMessages;
@@ -181,8 +183,8 @@
   if (outbound->open)
     return write(host, outbound, bytes);
   if (outbound->queuedMessages.size() >= MaxQueuedMessages) {
-    drop(host, bytes.size(), "not_connected");
-    return reportLost(host);
+    outbound->hasDropped = true;
+    return drop(host, bytes.size(), "not_connected");
   }
   outbound->queuedMessages.push_back(bytes);
 }
@@ -257,7 +259,10 @@
 void PeerMesh::Impl::closeConnection(const std::string &host) {
   const auto found = connections_.find(host);
   const WsClient::connection_ptr connection = found->second.connection;
-  const bool hasQueued = !found->second.queuedMessages.empty();
+  // Reported once for all, at the end of the connection: a receiver of the
+  // report may send at once, and that may be dropped as well.
+  const bool hasDropped =
+      found->second.hasDropped || !found->second.queuedMessages.empty();
   dropQueued(host, found->second);
   connections_.erase(found);
   const auto onEnd = [this, host,
@@ -270,7 +275,7 @@
   connection->close(websocketpp::close::status::normal, "", error);
   if (error)
     clearHandlers(connection);
-  if (hasQueued)
+  if (hasDropped)
     reportLost(host);
 }
 
@@ -328,8 +333,8 @@
                            OutboundConnection *outbound,
                            const std::string &bytes) {
   if (outbound->connection->get_buffered_amount() > MaxBufferedBytes) {
-    drop(host, bytes.size(), "backlog");
-    return reportLost(host);
+    outbound->hasDropped = true;
+    return drop(host, bytes.size(), "backlog");
   }
   const websocketpp::lib::error_code error =
       outbound->connection->send(bytes, websocketpp::frame::opcode::binary);
