Tests: a property that is falsified fails its test

rc::check() returns whether the property held, and 24 tests ignored that: a counterexample was printed and the test passed. Each is checked now.

One of them was falsified, and wrongly: RC_ASSERT evaluates both sides of an ||, so a message that the replay window refused was entered as accepted, and its late copy failed the test. The test no longer does that; what it asserts is the same.

--- a/src/auburnspring/decision/batching_host_test.cpp
+++ b/src/auburnspring/decision/batching_host_test.cpp
@@ -54,18 +54,19 @@
 }
 
 TEST_CASE("the loss of a host moves only its own pools") {
-  rc::check([](std::uint8_t large, std::uint8_t small, std::uint8_t lost) {
-    Fleet fleet = mixedFleet(large % 8 + 2, small % 40);
-    std::map<std::string, std::string> before;
-    for (int i = 0; i < 40; ++i) {
-      const std::string pool = "pool-" + std::to_string(i);
-      before[pool] = fleet.choose(pool);
-    }
-    auto gone = fleet.hosts.begin();
-    std::advance(gone, lost % fleet.hosts.size());
-    const std::string name = gone->first;
-    fleet.hosts.erase(gone);
-    for (const auto &[pool, host] : before)
-      RC_ASSERT(host == name || fleet.choose(pool) == host);
-  });
+  CHECK(
+      rc::check([](std::uint8_t large, std::uint8_t small, std::uint8_t lost) {
+        Fleet fleet = mixedFleet(large % 8 + 2, small % 40);
+        std::map<std::string, std::string> before;
+        for (int i = 0; i < 40; ++i) {
+          const std::string pool = "pool-" + std::to_string(i);
+          before[pool] = fleet.choose(pool);
+        }
+        auto gone = fleet.hosts.begin();
+        std::advance(gone, lost % fleet.hosts.size());
+        const std::string name = gone->first;
+        fleet.hosts.erase(gone);
+        for (const auto &[pool, host] : before)
+          RC_ASSERT(host == name || fleet.choose(pool) == host);
+      }));
 }
--- a/src/auburnspring/decision/content_delta_test.cpp
+++ b/src/auburnspring/decision/content_delta_test.cpp
@@ -82,7 +82,7 @@
 }
 
 TEST_CASE("whatever is held, a value arrives as it was") {
-  rc::check([] {
+  CHECK(rc::check([] {
     const auto seed = *rc::gen::inRange(0, 1000);
     std::string held =
         randomText(static_cast<std::size_t>(*rc::gen::inRange(0, 60000)), 17);
@@ -102,5 +102,5 @@
                      randomText(length, static_cast<std::uint64_t>(seed + i)));
     }
     RC_ASSERT(transfer(value, held) == value);
-  });
+  }));
 }
--- a/src/auburnspring/decision/crashing_part_detector_test.cpp
+++ b/src/auburnspring/decision/crashing_part_detector_test.cpp
@@ -139,7 +139,7 @@
 }
 
 TEST_CASE("the detector finds exactly what crashes without being sound") {
-  rc::check([] {
+  CHECK(rc::check([] {
     CrashingPartDetector detector;
     TimePoint now = Start;
     std::vector<TimePoint> moments;
@@ -164,5 +164,5 @@
       RC_ASSERT(found ==
                 (counts && moments.size() >= CrashingPartDetector::MinCrashes));
     }
-  });
+  }));
 }
--- a/src/auburnspring/decision/helper_selection_test.cpp
+++ b/src/auburnspring/decision/helper_selection_test.cpp
@@ -86,11 +86,11 @@
 }
 
 TEST_CASE("a host's own callers keep half of it", "[property]") {
-  rc::check([] {
+  CHECK(rc::check([] {
     std::int64_t own = *rc::gen::inRange(0, 500);
     std::int64_t handedOver = 0;
     while (mayHelp(own, handedOver))
       ++handedOver;
     RC_ASSERT(handedOver <= std::max<std::int64_t>(own, 32));
-  });
+  }));
 }
--- a/src/auburnspring/decision/ledger_test.cpp
+++ b/src/auburnspring/decision/ledger_test.cpp
@@ -228,23 +228,24 @@
 }
 
 TEST_CASE("any page is unchanged by encoding and decoding") {
-  rc::check("page", [](const std::map<std::string, std::string> &responses,
-                       const std::vector<std::uint32_t> &times) {
-    LedgerPage page;
-    for (const auto &[key, response] : responses) {
-      LedgerRecord record;
-      record.nonce = digestHex(key);
-      record.outcome = Outcome::Complete;
-      record.response = digestHex(response);
-      record.responseStored = true;
-      page.records[digestHex(key)] = record;
-    }
-    for (const std::uint32_t time : times) {
-      page.sealed.push_back({std::to_string(time), WallTime(time)});
-      page.tombstones[std::to_string(time)] = WallTime(time);
-    }
-    const auto decoded = decodePage(encodePage(page));
-    RC_ASSERT(decoded.ok());
-    RC_ASSERT(encodePage(*decoded) == encodePage(page));
-  });
+  CHECK(
+      rc::check("page", [](const std::map<std::string, std::string> &responses,
+                           const std::vector<std::uint32_t> &times) {
+        LedgerPage page;
+        for (const auto &[key, response] : responses) {
+          LedgerRecord record;
+          record.nonce = digestHex(key);
+          record.outcome = Outcome::Complete;
+          record.response = digestHex(response);
+          record.responseStored = true;
+          page.records[digestHex(key)] = record;
+        }
+        for (const std::uint32_t time : times) {
+          page.sealed.push_back({std::to_string(time), WallTime(time)});
+          page.tombstones[std::to_string(time)] = WallTime(time);
+        }
+        const auto decoded = decodePage(encodePage(page));
+        RC_ASSERT(decoded.ok());
+        RC_ASSERT(encodePage(*decoded) == encodePage(page));
+      }));
 }
--- a/src/auburnspring/decision/part_guard_test.cpp
+++ b/src/auburnspring/decision/part_guard_test.cpp
@@ -149,7 +149,7 @@
 
 TEST_CASE("guards agree after any order of crashes, sound requests and losses",
           "[property]") {
-  rc::check([] {
+  CHECK(rc::check([] {
     const auto hosts = static_cast<std::size_t>(*rc::gen::inRange(2, 30));
     Fleet fleet(hosts);
     fleet.random.seed(*rc::gen::arbitrary<std::uint64_t>());
@@ -173,5 +173,5 @@
       const std::size_t held = fleet.holdingBack({name});
       RC_ASSERT(held == 0 || held == hosts);
     }
-  });
+  }));
 }
--- a/src/auburnspring/decision/piece_batcher_break_test.cpp
+++ b/src/auburnspring/decision/piece_batcher_break_test.cpp
@@ -122,7 +122,7 @@
 
 TEST_CASE("every sound job ends beside jobs that crash upstreams",
           "[property]") {
-  rc::check([] {
+  CHECK(rc::check([] {
     Pool pool;
     const int bad = *rc::gen::inRange(0, 3);
     const int sound = *rc::gen::inRange(1, 20);
@@ -138,5 +138,5 @@
               static_cast<std::size_t>(bad + sound));
     if (bad < 2)
       RC_ASSERT(pool.doneIds.size() == static_cast<std::size_t>(sound));
-  });
+  }));
 }
--- a/src/auburnspring/decision/pool_limiter_test.cpp
+++ b/src/auburnspring/decision/pool_limiter_test.cpp
@@ -99,7 +99,7 @@
 }
 
 TEST_CASE("slots are neither lost nor granted twice under random operations") {
-  rc::check("slots", [](const std::vector<std::uint8_t> &moves) {
+  CHECK(rc::check("slots", [](const std::vector<std::uint8_t> &moves) {
     PoolLimiter limiter(optionsWithLimit(3));
     std::map<RequestId, std::string> waiting;
     std::map<RequestId, std::string> running;
@@ -132,5 +132,5 @@
       RC_ASSERT(stats.queued == waiting.size());
       RC_ASSERT(running.size() <= 3U);
     }
-  });
+  }));
 }
--- a/src/auburnspring/decision/reach_monitor_test.cpp
+++ b/src/auburnspring/decision/reach_monitor_test.cpp
@@ -104,7 +104,7 @@
 }
 
 TEST_CASE("a host is cut just while it reaches nothing", "[property]") {
-  rc::check([] {
+  CHECK(rc::check([] {
     ReachMonitor monitor;
     TimePoint now = Start;
     bool isReachable = true;
@@ -127,5 +127,5 @@
       if (now > changedAt + seconds(1))
         RC_ASSERT(monitor.isCut() == !isReachable);
     }
-  });
+  }));
 }
--- a/src/auburnspring/decision/request_guard_test.cpp
+++ b/src/auburnspring/decision/request_guard_test.cpp
@@ -78,7 +78,7 @@
 
 // Guards against a trial that two hosts grant, or one that a restart forgets.
 TEST_CASE("the trials of a request are few, whichever hosts restart") {
-  rc::check([] {
+  CHECK(rc::check([] {
     const auto hosts = *rc::gen::inRange<std::size_t>(2, 20);
     Fleet fleet(hosts);
     fleet.random.seed(*rc::gen::arbitrary<std::uint64_t>());
@@ -102,14 +102,14 @@
       fleet.runFor(milliseconds(*rc::gen::inRange(50, 2000)));
     }
     RC_ASSERT(request.runs <= known + 3);
-  });
+  }));
 }
 
 // Guards against refusing a sound request: upstreams crash for other reasons,
 // and a run that ends soundly anywhere ends the suspicion.
 TEST_CASE("a request that completes is held back for one trial at most",
           "[property]") {
-  rc::check([] {
+  CHECK(rc::check([] {
     const auto hosts = *rc::gen::inRange<std::size_t>(1, 16);
     Fleet fleet(hosts);
     fleet.random.seed(*rc::gen::arbitrary<std::uint64_t>());
@@ -133,7 +133,7 @@
         RC_ASSERT(fleet.now - heldBackSince <
                   PartQuarantines::RequestTrialDelays[0] + seconds(2));
     }
-  });
+  }));
 }
 
 // 300 hosts run 6200 requests a second, no two alike. 45 upstreams crash at
--- a/src/auburnspring/decision/request_limit_test.cpp
+++ b/src/auburnspring/decision/request_limit_test.cpp
@@ -117,7 +117,7 @@
 }
 
 TEST_CASE("any asking keeps within what the limit allows in some window") {
-  rc::check([] {
+  CHECK(rc::check([] {
     const double perSecond = *rc::gen::inRange(1, 500) / 10.0;
     RequestLimit limit;
     limit.onStatement(perSecond, Start, Start);
@@ -131,7 +131,7 @@
         granted.push_back(now);
     }
     RC_ASSERT(static_cast<double>(mostInWindow(granted)) <= allowed(perSecond));
-  });
+  }));
 }
 
 // At one request a second over few hosts and over hundreds, all of which have
--- a/src/auburnspring/decision/request_name_test.cpp
+++ b/src/auburnspring/decision/request_name_test.cpp
@@ -21,12 +21,13 @@
 }
 
 TEST_CASE("no two requests share a name", "[property]") {
-  rc::check([](const std::tuple<std::string, std::string, std::string> &a,
-               const std::tuple<std::string, std::string, std::string> &b) {
-    const auto name = [](const auto &request) {
-      return requestName(std::get<0>(request), std::get<1>(request),
-                         std::get<2>(request));
-    };
-    RC_ASSERT((a == b) == (name(a) == name(b)));
-  });
+  CHECK(
+      rc::check([](const std::tuple<std::string, std::string, std::string> &a,
+                   const std::tuple<std::string, std::string, std::string> &b) {
+        const auto name = [](const auto &request) {
+          return requestName(std::get<0>(request), std::get<1>(request),
+                             std::get<2>(request));
+        };
+        RC_ASSERT((a == b) == (name(a) == name(b)));
+      }));
 }
--- a/src/auburnspring/decision/serving_decisions_test.cpp
+++ b/src/auburnspring/decision/serving_decisions_test.cpp
@@ -84,9 +84,9 @@
 }
 
 TEST_CASE("retry: a request that may have run is never reported not run") {
-  rc::check([](bool sent, bool isComplete, bool isSigned, int status,
-               std::int64_t possibleRuns, std::int64_t attemptCount,
-               bool hasTime) {
+  CHECK(rc::check([](bool sent, bool isComplete, bool isSigned, int status,
+                     std::int64_t possibleRuns, std::int64_t attemptCount,
+                     bool hasTime) {
     const AttemptReport report{sent, isComplete, false, isSigned, status};
     RC_PRE(sent);
     for (const RetryPolicy policy : {RetryPolicy::Never, RetryPolicy::Always}) {
@@ -96,7 +96,7 @@
       if (policy == RetryPolicy::Never)
         RC_ASSERT(decision != RetryDecision::RetryElsewhere);
     }
-  });
+  }));
 }
 
 TEST_CASE(
@@ -178,7 +178,7 @@
 }
 
 TEST_CASE("retry quota: all hosts together stay within the pool's budget") {
-  rc::check([](std::uint8_t hostCount, std::uint16_t firsts) {
+  CHECK(rc::check([](std::uint8_t hostCount, std::uint16_t firsts) {
     const std::size_t hosts = hostCount % 40 + 1;
     double granted = 0;
     for (std::size_t i = 0; i < hosts; ++i) {
@@ -190,7 +190,7 @@
         ++granted;
     }
     RC_ASSERT(granted <= 0.2 * firsts * static_cast<double>(hosts) + 58);
-  });
+  }));
 }
 
 TEST_CASE("plan: stages run in dependency order and empty ones are skipped") {
--- a/src/auburnspring/decision/store_replica_test.cpp
+++ b/src/auburnspring/decision/store_replica_test.cpp
@@ -200,7 +200,7 @@
 
 TEST_CASE(
     "replica: the final content does not depend on the order of changes") {
-  rc::check([](const std::vector<std::uint8_t> &order) {
+  CHECK(rc::check([](const std::vector<std::uint8_t> &order) {
     StoreReplica ordered;
     std::vector<StoreChange> history;
     for (std::int64_t i = 1; i <= 12; ++i)
@@ -214,7 +214,7 @@
     RC_ASSERT(shuffled.snapshot().size() == ordered.snapshot().size());
     for (std::size_t i = 0; i < ordered.snapshot().size(); ++i)
       RC_ASSERT(shuffled.snapshot()[i].value == ordered.snapshot()[i].value);
-  });
+  }));
 }
 
 TEST_CASE("replica: a read of a newer era replaces newer revisions") {
@@ -283,7 +283,7 @@
 
 TEST_CASE("replica: every replica equals a state of the store, whatever is "
           "restored, restarted or delivered late") {
-  rc::check(
+  CHECK(rc::check(
       [](const std::vector<std::pair<std::uint8_t, std::uint8_t>> &commands) {
         constexpr std::size_t Hosts = 3;
         ModelStore store;
@@ -366,5 +366,5 @@
           RC_ASSERT(contentOf(replicas[host]) ==
                     store.contentAt(store.version()));
         }
-      });
+      }));
 }
--- a/src/auburnspring/decision/stream_origin_check_test.cpp
+++ b/src/auburnspring/decision/stream_origin_check_test.cpp
@@ -91,7 +91,7 @@
 
 TEST_CASE("no order of replies, of which some get lost, brings an origin that "
           "has been corrected") {
-  rc::check([] {
+  CHECK(rc::check([] {
     // Host 0 recorded v1 and corrected it; the others know any part of that.
     const auto corrections = *rc::gen::inRange<std::uint64_t>(0, 3);
     const bool isBound = *rc::gen::arbitrary<bool>();
@@ -122,5 +122,5 @@
     }
     if (check.origin())
       RC_ASSERT(check.origin()->softwareVersion == version(latest));
-  });
+  }));
 }
--- a/src/auburnspring/decision/stream_origin_holders_test.cpp
+++ b/src/auburnspring/decision/stream_origin_holders_test.cpp
@@ -29,7 +29,7 @@
 
 TEST_CASE("a host that misses another, or lists one that is gone, asks a host "
           "that holds the origin") {
-  rc::check([] {
+  CHECK(rc::check([] {
     const auto count = *rc::gen::inRange<std::size_t>(14, 300);
     const auto removed = *rc::gen::inRange<std::size_t>(0, count);
     const auto id = *rc::gen::arbitrary<std::string>();
@@ -53,7 +53,7 @@
                       all[removed]) >= 2);
     RC_ASSERT(isAmong(complete.holders(id, Asked), partial.holders(id, Sent),
                       all[removed]) >= 2);
-  });
+  }));
 }
 
 TEST_CASE("origins are spread over few hosts, of the larger ones if there are "
--- a/src/auburnspring/decision/stream_origins_test.cpp
+++ b/src/auburnspring/decision/stream_origins_test.cpp
@@ -192,7 +192,7 @@
 }
 
 TEST_CASE("hosts that learn the same origins in any order agree") {
-  rc::check([] {
+  CHECK(rc::check([] {
     const auto revisions = *rc::gen::container<std::vector<std::uint64_t>>(
         rc::gen::inRange<std::uint64_t>(1, 9));
     RC_PRE(!revisions.empty());
@@ -211,5 +211,5 @@
     RC_ASSERT(versionOf(forwards, "r", at(1)) ==
               "v" + std::to_string(
                         *std::max_element(revisions.begin(), revisions.end())));
-  });
+  }));
 }
--- a/src/auburnspring/decision/version_placement_test.cpp
+++ b/src/auburnspring/decision/version_placement_test.cpp
@@ -24,7 +24,7 @@
 
 TEST_CASE("only upstreams of the required software version are chosen, "
           "whatever their health and load") {
-  rc::check([] {
+  CHECK(rc::check([] {
     const auto health =
         *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 16));
     std::mt19937_64 random(*rc::gen::arbitrary<std::mt19937_64::result_type>());
@@ -55,7 +55,7 @@
       if (chosen != nullptr)
         RC_ASSERT(chosen->entry.softwareVersion == "v1");
     }
-  });
+  }));
 }
 
 TEST_CASE("without a required software version all are chosen from") {
--- a/src/auburnspring/peer/replay_window_test.cpp
+++ b/src/auburnspring/peer/replay_window_test.cpp
@@ -31,17 +31,19 @@
 }
 
 TEST_CASE("no message is new twice, and one that is newest always is") {
-  rc::check([](const std::vector<std::uint16_t> &sequences,
-               const std::vector<bool> &late) {
+  CHECK(rc::check([](const std::vector<std::uint16_t> &sequences,
+                     const std::vector<bool> &late) {
     ReplayWindow window;
     std::set<std::uint64_t> accepted;
     std::uint64_t highest = 0;
     for (std::size_t i = 0; i < sequences.size(); ++i) {
       const std::uint64_t sequence = 1U + sequences[i];
       const bool isNew = window.accept(sequence, i < late.size() && late[i]);
-      RC_ASSERT(!isNew || accepted.insert(sequence).second);
+      // RC_ASSERT evaluates both sides of an operator.
+      const bool isFirst = !isNew || accepted.insert(sequence).second;
+      RC_ASSERT(isFirst);
       RC_ASSERT(isNew || sequence <= highest);
       highest = std::max(highest, sequence);
     }
-  });
+  }));
 }
--- a/src/auburnspring/wire/peer_codec_test.cpp
+++ b/src/auburnspring/wire/peer_codec_test.cpp
@@ -274,22 +274,22 @@
 
 TEST_CASE("changing any byte makes decoding fail") {
   const std::string bytes = encodeEnvelope(pingEnvelope(), Key);
-  rc::check("changed byte", [&] {
+  CHECK(rc::check("changed byte", [&] {
     const auto at = *rc::gen::inRange<std::size_t>(0, bytes.size());
     const auto mask = *rc::gen::inRange(1, 256);
     std::string changed = bytes;
     changed[at] = static_cast<char>(changed[at] ^ mask);
     RC_ASSERT(!decodeEnvelope(changed, Key).ok());
-  });
+  }));
 }
 
 TEST_CASE("a correctly signed envelope with arbitrary text does not crash") {
-  rc::check("garbage", [](const std::string &garbage) {
+  CHECK(rc::check("garbage", [](const std::string &garbage) {
     // Arbitrary text in a field, signed with the right key.
     PeerEnvelope envelope = pingEnvelope();
     envelope.from = garbage;
     const auto decoded = decodeEnvelope(encodeEnvelope(envelope, Key), Key);
     if (decoded.ok())
       RC_ASSERT(decoded->from == garbage);
-  });
+  }));
 }
