Soak: corrections of stream origins that a silent channel swallows

Fault set 10 also crashes an upstream under streams that wait for their first events, has one channel of one pair of hosts fall silent at that moment for 1.6 s, and resets the callers while the streams go on elsewhere.

--- a/soak/fault_injector.cpp
+++ b/soak/fault_injector.cpp
@@ -25,6 +25,12 @@
 constexpr Duration MaxRestoreOutage = std::chrono::milliseconds(800);
 constexpr Duration RewriteDelay = std::chrono::milliseconds(700);
 /// Share of the upstreams that a fault affects at the same time.
+/// Time in which streams gather at an upstream that is about to crash, and time
+/// in which they then bring events from another one.
+constexpr Duration DispatchToldTime = std::chrono::milliseconds(500);
+constexpr Duration CorrectedStreamTime = std::chrono::milliseconds(200);
+/// After this time without acknowledgements a connection is given up.
+constexpr Duration AckTimeout = std::chrono::milliseconds(1600);
 constexpr double FaultyUpstreamShare = 0.4;
 constexpr double SilentUpstreamShare = 0.5;
 /// How long a sound upstream falls silent.
@@ -101,7 +107,7 @@
       {"workers_damage_heads", &Self::upstreamsDamageHeads,
        DamagedHeadsFaultSet},
       {"silence_pair", &Self::silencePair, SilentPairFaultSet},
-      {"silence_pair", &Self::silencePair, SilentPairFaultSet},
+      {"silence_corrections", &Self::silenceCorrections, SilentPairFaultSet},
   };
   kinds.erase(
       std::remove_if(kinds.begin(), kinds.end(),
@@ -123,8 +129,8 @@
   if (killsAmidStreams_)
     kinds_.push_back({"kill_all", &Self::killAll});
   if (hasSilentPairs_) {
-    kinds_.push_back({"silence_pair", &Self::silencePair});
-    kinds_.push_back({"crash_worker", &Self::crashUpstream});
+    kinds_.push_back({"silence_corrections", &Self::silenceCorrections});
+    kinds_.push_back({"silence_corrections", &Self::silenceCorrections});
   }
   if (hasLimits_)
     kinds_.push_back({"workers_name_limits", &Self::upstreamsNameLimits});
@@ -280,6 +286,30 @@
   disruptFor("world", Duration(0), [] {});
 }
 
+void FaultInjector::silenceCorrections(Duration span) {
+  SoakUpstream *upstream = randomModelUpstream();
+  if (upstream == nullptr || upstream->server->faultMode != FaultMode::NoFault)
+    return;
+  upstream->server->pause = MaxFaultTime;
+  upstream->server->pausesBeforeEvent = 1;
+  upstream->server->faultMode = FaultMode::PausesStream;
+  // By then peers have been told where the streams were dispatched.
+  runAfter(DispatchToldTime, [this, span, upstream] {
+    silencePair(span);
+    runAfter(AckTimeout, [this] {
+      for (const auto &host : cluster_->hosts())
+        host->peerLink->resetSilentConnections();
+    });
+    if (upstream->isListed)
+      cluster_->crashUpstream(upstream);
+  });
+  // Their callers lose them while they go on at other versions.
+  runAfter(DispatchToldTime + CorrectedStreamTime, [this] {
+    for (const auto &host : cluster_->hosts())
+      resetCallersOf(host.get());
+  });
+}
+
 // Store.
 
 void FaultInjector::setStoreFault(StoreFaultMode faultMode, Duration span) {
--- a/soak/fault_injector.h
+++ b/soak/fault_injector.h
@@ -87,6 +87,9 @@
   void impairPeerLink(Duration span);
   void blackholePeers(Duration span);
   void silencePair(Duration span);
+  /// Streams that wait for their first events begin anew at other software
+  /// versions, and the channel that would tell one host is silent.
+  void silenceCorrections(Duration span);
   void storeBusy(Duration span);
   void storeUnresponsive(Duration span);
   void storeResets(Duration span);
--- a/soak/loopback_proxy.cpp
+++ b/soak/loopback_proxy.cpp
@@ -63,6 +63,7 @@
     directions_[0].isSilent = true;
     directions_[1].isSilent = directions_[1].isSilent || !isOneWay;
   }
+  bool isSilent() const { return directions_[0].isSilent; }
   void detach() { proxy_ = nullptr; }
 
   /// Forwards held bytes after a change of the link's state.
@@ -210,4 +211,10 @@
       ->silence(isOneWay);
 }
 
+void LoopbackProxy::resetSilentConnections() {
+  for (const auto &pipe : std::unordered_set(pipes_))
+    if (pipe->isSilent())
+      pipe->abort();
+}
+
 } // namespace auburnspring::soak
--- a/soak/loopback_proxy.h
+++ b/soak/loopback_proxy.h
@@ -47,6 +47,9 @@
   /// Swallows what comes on one open connection from now on, toward the target
   /// or both ways; new ones are forwarded.
   void silenceOneConnection(std::mt19937_64 *random, bool isOneWay);
+  /// Resets the silent connections, as an operating system does once what was
+  /// sent has not been acknowledged for long.
+  void resetSilentConnections();
 
 private:
   class Pipe;
