--- a/include/auburnspring/serving/stream_origin_exchange.h
+++ b/include/auburnspring/serving/stream_origin_exchange.h
@@ -108,8 +108,6 @@
   /// The host that writes the origin to the store; empty if there is none.
   std::string writerOf(const std::string &id) const;
   std::vector<std::string> peersToAsk(const std::string &id) const;
-  /// The peer is to hold the origin, or to write it to the store.
-  bool concerns(const std::string &host, const StreamOrigin &origin) const;
   /// Asks those that have not replied, unless the time is over.
   void startRound(std::uint64_t number);
   void finishQuery(std::uint64_t number);
--- a/soak/fault_injector.cpp
+++ b/soak/fault_injector.cpp
@@ -293,7 +293,7 @@
   upstream->server->pause = MaxFaultTime;
   upstream->server->pausesBeforeEvent = 1;
   upstream->server->faultMode = FaultMode::PausesStream;
-  // By then peers have been told where the streams were dispatched.
+  // The dispatches have been announced to peers by then.
   runAfter(DispatchToldTime, [this, span, upstream] {
     silencePair(span);
     runAfter(AckTimeout, [this] {
--- a/src/auburnspring/serving/stream_origin_exchange.cpp
+++ b/src/auburnspring/serving/stream_origin_exchange.cpp
@@ -134,21 +134,21 @@
       peers_->send(host, StreamOriginQuery{reply.number, found->second.id});
 }
 
-bool StreamOriginExchange::concerns(const std::string &host,
-                                    const StreamOrigin &origin) const {
-  if (heartbeatsReachAll() || host == writerOf(origin.id))
-    return true;
-  const std::vector<BatchingCandidate> hosts = peers_->candidates(steadyNow());
-  const std::vector<std::string> holders = StreamOriginHolders(hosts).holders(
-      origin.id, StreamOriginHolders::HolderCount);
-  return std::find(holders.begin(), holders.end(), host) != holders.end();
-}
-
 void StreamOriginExchange::repeat(const std::string &host, TimePoint since) {
-  StreamOriginsUpdate update;
-  for (StreamOrigin &origin : origins_.ownSince(since, steadyNow()))
-    if (concerns(host, origin))
-      update.origins.push_back(std::move(origin));
+  const TimePoint now = steadyNow();
+  const std::vector<BatchingCandidate> hosts = peers_->candidates(now);
+  const StreamOriginHolders holders(hosts);
+  const auto isHeldElsewhere = [&](const StreamOrigin &origin) {
+    if (heartbeatsReachAll() || host == writerOf(origin.id))
+      return false;
+    const std::vector<std::string> chosen =
+        holders.holders(origin.id, StreamOriginHolders::HolderCount);
+    return std::find(chosen.begin(), chosen.end(), host) == chosen.end();
+  };
+  StreamOriginsUpdate update{origins_.ownSince(since, now)};
+  update.origins.erase(std::remove_if(update.origins.begin(),
+                                      update.origins.end(), isHeldElsewhere),
+                       update.origins.end());
   if (!update.origins.empty())
     peers_->send(host, std::move(update));
 }
