--- a/review/stand_ins_3/deployment.cpp
+++ b/review/stand_ins_3/deployment.cpp
@@ -42,10 +42,13 @@
 } // namespace
 
 Deployment::Deployment(asio::io_context &io, Record *record,
-                       std::size_t hostCount, Endpoint store)
+                       std::size_t hostCount, Endpoint store,
+                       std::size_t sparePorts)
     : io_(io), record_(record), folder_(makeFolder()), readyTimer_(io) {
   const std::vector<std::uint16_t> ports =
-      platform::freePorts(io, hostCount * PortsPerHost);
+      platform::freePorts(io, hostCount * PortsPerHost + sparePorts);
+  sparePorts_.assign(ports.end() - static_cast<std::ptrdiff_t>(sparePorts),
+                     ports.end());
   for (std::size_t i = 0; i < hostCount; ++i) {
     const std::vector<std::uint16_t> own(
         ports.begin() + static_cast<std::ptrdiff_t>(i * PortsPerHost),
@@ -118,6 +121,8 @@
       _exit(1);
     dup2(log, STDOUT_FILENO);
     dup2(log, STDERR_FILENO);
+    // The channels of the stand-ins are none of the host's.
+    closefrom(STDERR_FILENO + 1);
     std::array<char *, 4> arguments = {
         const_cast<char *>(Program), const_cast<char *>("--settings-from"),
         const_cast<char *>("AUBURNSPRING_BOOT"), nullptr};
--- a/review/stand_ins_3/deployment.h
+++ b/review/stand_ins_3/deployment.h
@@ -25,8 +25,9 @@
 /// loopback, each with a settings file as the deploy template renders it.
 class Deployment {
 public:
+  /// Finds `sparePorts` more ports than the hosts need.
   Deployment(asio::io_context &io, Record *record, std::size_t hostCount,
-             Endpoint store);
+             Endpoint store, std::size_t sparePorts = 0);
   /// Ends all processes and removes the folder of the settings and logs.
   ~Deployment();
   Deployment(const Deployment &) = delete;
@@ -36,6 +37,9 @@
   Endpoint callers(std::size_t host) const { return hosts_[host].callers; }
   const std::string &name(std::size_t host) const { return hosts_[host].name; }
 
+  /// Ports that no host uses.
+  const std::vector<std::uint16_t> &sparePorts() const { return sparePorts_; }
+
   void start(std::size_t host);
   void startAll();
   /// Calls the handler with true once all hosts are ready, or with false if
@@ -71,6 +75,7 @@
   Record *record_;
   std::string folder_;
   std::vector<Host> hosts_;
+  std::vector<std::uint16_t> sparePorts_;
   std::map<std::size_t, std::unique_ptr<http::ClientCall>> probes_;
   std::map<std::size_t, bool> ready_;
   std::map<std::size_t, std::unique_ptr<http::Timer>> endTimers_;
--- a/review/stand_ins_3/raw_worker.cpp
+++ b/review/stand_ins_3/raw_worker.cpp
@@ -32,31 +32,50 @@
       lapseTimer_(io) {}
 
 void RawWorker::start() {
-  id_ = fmt::format("{}-{}", options_.name, ++starts_);
+  ++starts_;
+  id_ = options_.keepsId ? options_.name
+                         : fmt::format("{}-{}", options_.name, starts_);
   born_ = std::chrono::duration_cast<std::chrono::milliseconds>(
               std::chrono::system_clock::now().time_since_epoch())
               .count();
   sequence_ = 0;
   isDown_ = false;
-  acceptor_ = tcp::acceptor(io_, {asio::ip::make_address("127.0.0.1"), 0});
+  acceptor_ =
+      tcp::acceptor(io_, {asio::ip::make_address("127.0.0.1"), options_.port});
+  record_->add(fmt::format("worker={} starts version={} born={}", id_,
+                           options_.version, born_));
   beat();
   accept();
 }
 
+void RawWorker::setCut(bool isCut) {
+  isCut_ = isCut;
+  record_->add(fmt::format("worker={} cut_from_store={}", id_, isCut));
+  if (!isCut)
+    return lapseTimer_.cancel();
+  // The store removes the entry of a worker that it does not hear.
+  lapseTimer_.startAfter(LapseTime, [this, id = id_] {
+    record_->add(fmt::format("worker={} entry_removed", id));
+    store_->remove("servers/" + id);
+  });
+}
+
 void RawWorker::beat() {
+  beatTimer_.startAfter(HeartbeatInterval, [this] { beat(); });
+  if (isCut_)
+    return;
   const nlohmann::json entry = {
       {"Service", options_.service},
       {"Address",
        "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port())},
       {"Zone", options_.zone},
-      {"Version", "v1"},
+      {"Version", options_.version},
       {"Slots", options_.slots},
       {"State", "ready"},
       {"ColdRemainingMs", 0},
       {"Sequence", ++sequence_},
       {"born", born_}};
   store_->put("servers/" + id_, entry.dump());
-  beatTimer_.startAfter(HeartbeatInterval, [this] { beat(); });
 }
 
 void RawWorker::accept() {
@@ -111,8 +130,12 @@
                  "HTTP/1.1 421 Misdirected Request\r\nInstance-Id: " + id_ +
                      "\r\nContent-Length: 0\r\n\r\n",
                  [this, channel] { close(channel); });
-  record_->add(fmt::format("request={} reaches={} parts={}", id, id_,
-                           channel->headers["prompt-prefix"]));
+  const std::string &lastEvent = channel->headers["last-event-id"];
+  if (!absl::SimpleAtoi(lastEvent, &channel->events))
+    channel->events = 0;
+  record_->add(fmt::format("request={} reaches={} parts={} after_event={}", id,
+                           id_, channel->headers["prompt-prefix"],
+                           channel->events));
   events_.onArrival(id, channel->headers["prompt-prefix"]);
   watch(channel);
   channel->timer.startAfter(options_.firstToken,
@@ -159,9 +182,9 @@
 
 void RawWorker::writeEvent(const ChannelPtr &channel) {
   ++channel->events;
-  const bool isLast = channel->events == options_.events;
-  std::string bytes =
-      framed(fmt::format("id: {0}\ndata: {0}\n\n", channel->events));
+  const bool isLast = channel->events >= options_.events;
+  std::string bytes = framed(
+      fmt::format("id: {}\ndata: {}\n\n", channel->events, options_.version));
   if (isLast && options_.usesChunks)
     bytes += "0\r\n\r\n";
   write(channel, bytes, [this, channel, isLast] {
@@ -200,8 +223,9 @@
   acceptor_.close(ignored);
   for (const ChannelPtr &channel : std::set<ChannelPtr>(channels_))
     close(channel);
-  lapseTimer_.startAfter(LapseTime,
-                         [this, id = id_] { store_->remove("servers/" + id); });
+  if (!options_.keepsId)
+    lapseTimer_.startAfter(
+        LapseTime, [this, id = id_] { store_->remove("servers/" + id); });
   downTimer_.startAfter(options_.downTime, [this] { start(); });
 }
 
--- a/review/stand_ins_3/raw_worker.h
+++ b/review/stand_ins_3/raw_worker.h
@@ -39,6 +39,12 @@
     int events = 5;
     Duration firstToken = std::chrono::milliseconds(60);
     Duration eventPause = std::chrono::milliseconds(40);
+    /// Version of its software, which each event shows.
+    std::string version = "v1";
+    /// It starts again under the id and at the address that it had, which needs
+    /// a port of its own.
+    bool keepsId = false;
+    std::uint16_t port = 0;
   };
   struct Events {
     std::function<void(const std::string &id, const std::string &parts)>
@@ -50,6 +56,14 @@
             platform::FakeStoreServer *store, Options options, Events events);
 
   void start();
+  /// All its sockets close; it is back after its down time.
+  void crash();
+  /// Cuts it from the store, or ends the cut.
+  void setCut(bool isCut);
+  /// The version that it runs from its next start on.
+  void setVersion(std::string version) {
+    options_.version = std::move(version);
+  }
 
 private:
   struct Channel {
@@ -61,6 +75,7 @@
     std::map<std::string, std::string> headers;
     std::string output;
     std::array<char, 256> rest{};
+    /// Number of the last event that was written.
     int events = 0;
   };
   using ChannelPtr = std::shared_ptr<Channel>;
@@ -77,7 +92,6 @@
   void write(const ChannelPtr &channel, const std::string &bytes,
              std::function<void()> next);
   void close(const ChannelPtr &channel);
-  void crash();
   std::string framed(const std::string &bytes) const;
 
   asio::io_context &io_;
@@ -93,6 +107,7 @@
   std::string id_;
   int starts_ = 0;
   bool isDown_ = true;
+  bool isCut_ = false;
   std::int64_t born_ = 0;
   std::int64_t sequence_ = 0;
 };
