--- a/review/stand_ins_3/caller.h
+++ b/review/stand_ins_3/caller.h
@@ -12,6 +12,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace auburnspring::review {
@@ -33,6 +34,8 @@
     int status = 0;
     bool isComplete = false;
     std::string body;
+    /// Retry-After of the answer.
+    std::optional<Duration> retryAfter;
   };
   using Handler = std::function<void(const Request &, const Result &)>;
 
