--- a/review/stand_ins_3/hedge_case.cpp
+++ b/review/stand_ins_3/hedge_case.cpp
@@ -1,7 +1,7 @@
-// One model worker falls mute: it sends the head of its response with its first
-// token, and no event. The other one is sound, but silent for a second after
-// its first token. Checks that no request runs at both for longer than the
-// rule allows.
+// One of nine model workers is mute in a part of its runs: it sends the head of
+// its response with its first token, and no event. The others are sound, but in
+// some of their runs silent for a second after the first token. Checks that no
+// request runs at two workers for longer than the rule allows.
 
 #include "caller.h"
 #include "deployment.h"
@@ -21,12 +21,18 @@
 namespace {
 
 constexpr std::size_t Hosts = 3;
-constexpr std::size_t Streams = 40;
-constexpr Duration StreamInterval = std::chrono::milliseconds(400);
+constexpr std::size_t Workers = 9;
+constexpr std::size_t Streams = 400;
+constexpr Duration StreamInterval = std::chrono::milliseconds(50);
 constexpr Duration Patience = std::chrono::seconds(15);
 /// From the arrival of a request to its first token.
 constexpr Duration FirstToken = std::chrono::milliseconds(100);
-/// Silence of the sound worker, and the pause between its events.
+/// The mute worker is so in two of five runs, and a sound one silent in one of
+/// three.
+constexpr int MuteRuns = 2;
+constexpr int MuteCycle = 5;
+constexpr int SilentCycle = 3;
+/// Silence of a sound worker, and the pause between events.
 constexpr Duration SoundSilence = std::chrono::milliseconds(1000);
 constexpr Duration EventPause = std::chrono::milliseconds(50);
 constexpr int EventsPerStream = 5;
@@ -59,18 +65,20 @@
                   complete_ += result.isComplete && result.status == 200;
                   ++ended_;
                 }),
-        timer_(io), endTimer_(io),
-        mute_(io, &store_, {"i-mute", "models", "zone-1", 64},
-              [this](const auto &exchange) { run(&mute_, exchange); }),
-        sound_(io, &store_, {"i-sound", "models", "zone-2", 64},
-               [this](const auto &exchange) { run(&sound_, exchange); }) {
+        timer_(io), endTimer_(io) {
     store_.keepsCopies = false;
+    for (std::size_t i = 0; i < Workers; ++i)
+      workers_.push_back(std::make_unique<Worker>(
+          io, &store_,
+          Worker::Options{fmt::format("i-{}", i + 1), "models",
+                          fmt::format("zone-{}", i % Hosts + 1), 64},
+          [this, i](const auto &exchange) { run(i, exchange); }));
   }
 
   int play() {
     store_.put("op/config", Configuration);
-    mute_.beat();
-    sound_.beat();
+    for (const auto &worker : workers_)
+      worker->beat();
     deployment_.startAll();
     deployment_.whenReady(std::chrono::seconds(10), [this](bool isReady) {
       if (!isReady)
@@ -90,14 +98,21 @@
     std::unique_ptr<http::Timer> timer;
     TimePoint begun;
     std::optional<TimePoint> ended;
+    bool isMute = false;
+    bool isSilent = false;
     int events = 0;
   };
 
-  void run(Worker *worker, const std::shared_ptr<http::Exchange> &exchange) {
+  void run(std::size_t worker,
+           const std::shared_ptr<http::Exchange> &exchange) {
     const std::string id = header(*exchange, "Attempt-Id");
-    record_->add(fmt::format("request={} arrives at={}", id, worker->id()));
     auto run = std::make_shared<Run>();
-    run->worker = worker;
+    run->worker = workers_[worker].get();
+    record_->add(
+        fmt::format("request={} arrives at={}", id, run->worker->id()));
+    const int number = runCounts_[worker]++;
+    run->isMute = worker == 0 && hasTrouble() && number % MuteCycle < MuteRuns;
+    run->isSilent = worker != 0 && number % SilentCycle == 0;
     run->exchange = exchange;
     run->timer = std::make_unique<http::Timer>(io_);
     exchange->onDisconnect = [this, id, run] { endRun(id, run, "closed"); };
@@ -107,14 +122,15 @@
   /// The request runs from its first token on.
   void begin(const std::string &id, const std::shared_ptr<Run> &run) {
     run->begun = steadyNow();
-    record_->add(fmt::format("request={} runs at={}", id, run->worker->id()));
+    record_->add(fmt::format("request={} runs at={} mute={} silent={}", id,
+                             run->worker->id(), run->isMute, run->isSilent));
     runs_[id].push_back(run);
     http::ResponseHead head = run->worker->signedHead(*run->exchange);
     head.headers.add("Content-Type", "text/event-stream");
     run->exchange->begin(std::move(head));
-    const bool isMute = run->worker == &mute_ && hasTrouble();
-    if (!isMute)
-      run->timer->startAfter(SoundSilence, [this, id, run] { write(id, run); });
+    if (!run->isMute)
+      run->timer->startAfter(run->isSilent ? SoundSilence : EventPause,
+                             [this, id, run] { write(id, run); });
   }
 
   void write(const std::string &id, const std::shared_ptr<Run> &run) {
@@ -201,8 +217,8 @@
   http::Timer timer_;
   http::Timer endTimer_;
   std::map<std::string, std::vector<std::shared_ptr<Run>>> runs_;
-  Worker mute_;
-  Worker sound_;
+  std::map<std::size_t, int> runCounts_;
+  std::vector<std::unique_ptr<Worker>> workers_;
   std::size_t sent_ = 0;
   std::size_t ended_ = 0;
   std::size_t complete_ = 0;
