--- a/review/stand_ins_3/hedge_case.cpp
+++ b/review/stand_ins_3/hedge_case.cpp
@@ -22,16 +22,16 @@
 
 constexpr std::size_t Hosts = 3;
 constexpr std::size_t Workers = 9;
-constexpr std::size_t Streams = 400;
-constexpr Duration StreamInterval = std::chrono::milliseconds(50);
+constexpr std::size_t Streams = 600;
+constexpr Duration StreamInterval = std::chrono::milliseconds(40);
 constexpr Duration Patience = std::chrono::seconds(15);
 /// From the arrival of a request to its first token.
 constexpr Duration FirstToken = std::chrono::milliseconds(100);
 /// The mute worker is so in two of five runs, and a sound one silent in one of
-/// three.
+/// two.
 constexpr int MuteRuns = 2;
 constexpr int MuteCycle = 5;
-constexpr int SilentCycle = 3;
+constexpr int SilentCycle = 2;
 /// Silence of a sound worker, and the pause between events.
 constexpr Duration SoundSilence = std::chrono::milliseconds(1000);
 constexpr Duration EventPause = std::chrono::milliseconds(50);
