--- a/review/stand_ins_3/caller.cpp
+++ b/review/stand_ins_3/caller.cpp
@@ -1,6 +1,5 @@
 #include "caller.h"
 
-#include <absl/strings/numbers.h>
 #include <asio/post.hpp>
 #include <fmt/format.h>
 
@@ -15,11 +14,6 @@
   http::ClientCallbacks callbacks;
   callbacks.onHead = [raw = call.get()](const http::ResponseHead &head) {
     raw->result.status = head.status;
-    const std::string *retryAfter = head.headers.find("Retry-After");
-    double seconds = 0;
-    if (retryAfter != nullptr && absl::SimpleAtod(*retryAfter, &seconds))
-      raw->result.retryAfter =
-          Duration(static_cast<std::int64_t>(seconds * 1e6));
   };
   callbacks.onBody = [raw = call.get()](std::string_view bytes) {
     raw->result.body.append(bytes);
--- a/review/stand_ins_3/caller.h
+++ b/review/stand_ins_3/caller.h
@@ -12,7 +12,6 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <optional>
 #include <string>
 
 namespace auburnspring::review {
@@ -34,8 +33,6 @@
     int status = 0;
     bool isComplete = false;
     std::string body;
-    /// Retry-After of the answer.
-    std::optional<Duration> retryAfter;
   };
   using Handler = std::function<void(const Request &, const Result &)>;
 
--- a/review/stand_ins_3/crash_case.cpp
+++ b/review/stand_ins_3/crash_case.cpp
@@ -1,5 +1,6 @@
 // One prompt part crashes each model worker that begins to write an answer on
-// it. The streams of the workers come with neither a length nor chunks. Checks
+// it: within the first event of streams that come with neither a length nor
+// chunks, or, as "late", 0.6 s later in streams that come in chunks. Checks
 // that few requests with the part reach workers once it has crashed five.
 
 #include "caller.h"
@@ -28,6 +29,9 @@
 constexpr Duration SoundInterval = std::chrono::milliseconds(60);
 constexpr Duration CrashingInterval = std::chrono::milliseconds(700);
 constexpr const char *CrashingPart = "dead";
+/// Events are 40 ms apart.
+constexpr int EventsPerStream = 30;
+constexpr int LateEvent = 16;
 /// When requests with the part begin and end to come, from the first request
 /// on.
 constexpr Duration TroubleFrom = std::chrono::seconds(4);
@@ -54,7 +58,7 @@
 
 class CrashCase {
 public:
-  CrashCase(asio::io_context &io, Record *record)
+  CrashCase(asio::io_context &io, Record *record, bool isLate)
       : io_(io), record_(record), store_(io),
         deployment_(io, record, Hosts, store_.endpoint()),
         caller_(io, record,
@@ -69,7 +73,9 @@
       options.name = fmt::format("i-{}", static_cast<char>('a' + i));
       options.service = "models";
       options.zone = fmt::format("zone-{}", i % Hosts + 1);
-      options.usesChunks = std::getenv("CHUNKS") != nullptr;
+      options.usesChunks = isLate || std::getenv("CHUNKS") != nullptr;
+      options.events = EventsPerStream;
+      options.crashAtEvent = isLate ? LateEvent : 1;
       if (hasTrouble())
         options.crashingPart = CrashingPart;
       workers_.push_back(std::make_unique<RawWorker>(
@@ -197,10 +203,11 @@
 } // namespace
 
 int main(int argc, char **argv) {
-  if (argc != 2)
+  if (argc < 2)
     return CouldNotRun;
   asio::io_context io(1);
   Record record(argv[1]);
-  CrashCase crash(io, &record);
+  const bool isLate = argc > 2 && std::string(argv[2]) == "late";
+  CrashCase crash(io, &record, isLate);
   return crash.play();
 }
--- a/review/stand_ins_3/raw_worker.cpp
+++ b/review/stand_ins_3/raw_worker.cpp
@@ -33,43 +33,26 @@
 
 void RawWorker::start() {
   ++starts_;
-  id_ = options_.keepsId ? options_.name
-                         : fmt::format("{}-{}", options_.name, starts_);
+  id_ = fmt::format("{}-{}", options_.name, starts_);
   born_ = std::chrono::duration_cast<std::chrono::milliseconds>(
               std::chrono::system_clock::now().time_since_epoch())
               .count();
   sequence_ = 0;
   isDown_ = false;
-  acceptor_ =
-      tcp::acceptor(io_, {asio::ip::make_address("127.0.0.1"), options_.port});
-  record_->add(fmt::format("worker={} starts version={} born={}", id_,
-                           options_.version, born_));
+  acceptor_ = tcp::acceptor(io_, {asio::ip::make_address("127.0.0.1"), 0});
+  record_->add(fmt::format("worker={} starts", id_));
   beat();
   accept();
 }
 
-void RawWorker::setCut(bool isCut) {
-  isCut_ = isCut;
-  record_->add(fmt::format("worker={} cut_from_store={}", id_, isCut));
-  if (!isCut)
-    return lapseTimer_.cancel();
-  // The store removes the entry of a worker that it does not hear.
-  lapseTimer_.startAfter(LapseTime, [this, id = id_] {
-    record_->add(fmt::format("worker={} entry_removed", id));
-    store_->remove("servers/" + id);
-  });
-}
-
 void RawWorker::beat() {
   beatTimer_.startAfter(HeartbeatInterval, [this] { beat(); });
-  if (isCut_)
-    return;
   const nlohmann::json entry = {
       {"Service", options_.service},
       {"Address",
        "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port())},
       {"Zone", options_.zone},
-      {"Version", options_.version},
+      {"Version", "v1"},
       {"Slots", options_.slots},
       {"State", "ready"},
       {"ColdRemainingMs", 0},
@@ -159,21 +142,18 @@
       "Attempt-Id: {}\r\nResponse-Signature: {}.{}\r\n{}\r\n\r\n",
       id, id_, id,
       options_.usesChunks ? "Transfer-Encoding: chunked" : "Connection: close");
-  const std::string &part = options_.crashingPart;
-  const bool crashes = !part.empty() && channel->headers["prompt-prefix"].find(
-                                            part + ":") != std::string::npos;
-  if (!crashes)
-    return write(channel, head, [this, channel] {
-      channel->timer.startAfter(options_.eventPause,
-                                [this, channel] { writeEvent(channel); });
-    });
-  // It ends within the first event.
-  write(channel, head + framed("id: 1\nda"), [this, id] {
-    record_->add(fmt::format("request={} crashes={}", id, id_));
-    crash();
+  write(channel, head, [this, channel] {
+    channel->timer.startAfter(options_.eventPause,
+                              [this, channel] { writeEvent(channel); });
   });
 }
 
+bool RawWorker::hasCrashingPart(const ChannelPtr &channel) const {
+  const std::string &part = options_.crashingPart;
+  return !part.empty() && channel->headers["prompt-prefix"].find(part + ":") !=
+                              std::string::npos;
+}
+
 std::string RawWorker::framed(const std::string &bytes) const {
   return options_.usesChunks
              ? fmt::format("{:x}\r\n{}\r\n", bytes.size(), bytes)
@@ -182,9 +162,17 @@
 
 void RawWorker::writeEvent(const ChannelPtr &channel) {
   ++channel->events;
+  const std::string &id = channel->headers["attempt-id"];
+  // It ends within the event.
+  if (channel->events == options_.crashAtEvent && hasCrashingPart(channel))
+    return write(channel, framed(fmt::format("id: {}\nda", channel->events)),
+                 [this, id] {
+                   record_->add(fmt::format("request={} crashes={}", id, id_));
+                   crash();
+                 });
   const bool isLast = channel->events >= options_.events;
   std::string bytes = framed(
-      fmt::format("id: {}\ndata: {}\n\n", channel->events, options_.version));
+      fmt::format("id: {}\ndata: {}\n\n", channel->events, channel->events));
   if (isLast && options_.usesChunks)
     bytes += "0\r\n\r\n";
   write(channel, bytes, [this, channel, isLast] {
@@ -223,9 +211,9 @@
   acceptor_.close(ignored);
   for (const ChannelPtr &channel : std::set<ChannelPtr>(channels_))
     close(channel);
-  if (!options_.keepsId)
-    lapseTimer_.startAfter(
-        LapseTime, [this, id = id_] { store_->remove("servers/" + id); });
+  // The store removes the entry of a worker that it does not hear.
+  lapseTimer_.startAfter(LapseTime,
+                         [this, id = id_] { store_->remove("servers/" + id); });
   downTimer_.startAfter(options_.downTime, [this] { start(); });
 }
 
--- a/review/stand_ins_3/raw_worker.h
+++ b/review/stand_ins_3/raw_worker.h
@@ -21,9 +21,9 @@
 namespace auburnspring::review {
 
 /// A model worker whose streams come with neither a length nor chunks and end
-/// with their channel. A prompt part may crash it as it begins to write: its
-/// sockets close like those of a process that ends, and it is back after some
-/// seconds as a new instance.
+/// with their channel. A prompt part may crash it when it has begun to write:
+/// its sockets close like those of a process that ends, and it is back after
+/// some seconds as a new instance.
 class RawWorker {
 public:
   struct Options {
@@ -35,16 +35,12 @@
     bool usesChunks = false;
     /// Part that crashes it; empty if none does.
     std::string crashingPart;
+    /// The event within which the part crashes it.
+    int crashAtEvent = 1;
     Duration downTime = std::chrono::seconds(2);
     int events = 5;
     Duration firstToken = std::chrono::milliseconds(60);
     Duration eventPause = std::chrono::milliseconds(40);
-    /// Version of its software, which each event shows.
-    std::string version = "v1";
-    /// It starts again under the id and at the address that it had, which needs
-    /// a port of its own.
-    bool keepsId = false;
-    std::uint16_t port = 0;
   };
   struct Events {
     std::function<void(const std::string &id, const std::string &parts)>
@@ -56,14 +52,6 @@
             platform::FakeStoreServer *store, Options options, Events events);
 
   void start();
-  /// All its sockets close; it is back after its down time.
-  void crash();
-  /// Cuts it from the store, or ends the cut.
-  void setCut(bool isCut);
-  /// The version that it runs from its next start on.
-  void setVersion(std::string version) {
-    options_.version = std::move(version);
-  }
 
 private:
   struct Channel {
@@ -92,6 +80,8 @@
   void write(const ChannelPtr &channel, const std::string &bytes,
              std::function<void()> next);
   void close(const ChannelPtr &channel);
+  void crash();
+  bool hasCrashingPart(const ChannelPtr &channel) const;
   std::string framed(const std::string &bytes) const;
 
   asio::io_context &io_;
@@ -107,7 +97,6 @@
   std::string id_;
   int starts_ = 0;
   bool isDown_ = true;
-  bool isCut_ = false;
   std::int64_t born_ = 0;
   std::int64_t sequence_ = 0;
 };
