--- a/include/auburnspring/http/exchange.h
+++ b/include/auburnspring/http/exchange.h
@@ -13,6 +13,13 @@
 
 class ServerConnection;
 
+/// How the end of a body of unknown length shows.
+enum class BodyFraming {
+  Chunks,
+  /// It ends with its connection, so that one that is cut may look whole.
+  Connection,
+};
+
 /// One complete request and the means to respond to it. All methods may be
 /// called after the caller has disconnected; they then have no effect.
 class Exchange {
@@ -30,13 +37,13 @@
   /// Sends a complete response and sets its Content-Length.
   void respond(ResponseHead response, std::string_view content);
 
-  /// Starts a chunked response, for a body of unknown length.
-  void begin(ResponseHead response);
+  /// Starts a response with a body of unknown length.
+  void begin(ResponseHead response, BodyFraming framing = BodyFraming::Chunks);
   void write(std::string_view bytes);
   void end();
 
   /// Closes the connection without the final chunk, so that the caller detects
-  /// the response as truncated.
+  /// a response with chunks as truncated.
   void abort();
 
   /// Like abort(), once all data written so far has been sent.
--- a/src/auburnspring/http/server_connection.cpp
+++ b/src/auburnspring/http/server_connection.cpp
@@ -295,10 +295,13 @@
   connection->finishResponse();
 }
 
-void Exchange::begin(ResponseHead response) {
+void Exchange::begin(ResponseHead response, BodyFraming framing) {
   const std::shared_ptr<ServerConnection> connection = connection_.lock();
-  if (connection && !disconnected_)
-    connection->writeHead(std::move(response), true);
+  if (!connection || disconnected_)
+    return;
+  if (framing == BodyFraming::Connection)
+    connection->closeAfterResponse();
+  connection->writeHead(std::move(response), framing == BodyFraming::Chunks);
 }
 
 void Exchange::write(std::string_view bytes) {
--- a/src/auburnspring/http/server_connection.h
+++ b/src/auburnspring/http/server_connection.h
@@ -28,6 +28,8 @@
   void onLimitsChanged();
 
   void closeAfterFlush();
+  /// Closes once the response in progress is complete, which its head says.
+  void closeAfterResponse() { closeAfterResponse_ = true; }
 
   void writeHead(ResponseHead response, bool chunked);
   void writeBody(std::string_view bytes);
