One verdict on how an attempt ended, read by all that depends on it

Cause: an attempt's end was judged by the transport alone (AttemptReport::isComplete). A stream's partial event was noticed later, in onStreamEnd, which corrected a copy of the report for the retry; the crashes of parts, the health of the upstream, metrics and the log had gone by the first one.

Change: Attempt collects the evidence at its end (transport, framing, content, head), judgeAttempt() decides once, and retry, health, parts and requests that crash upstreams, speeds, permits, metrics and the log read the AttemptVerdict. AttemptReport and its corrected copy are gone. A lost call's permit is held until its upstream has noticed. attempt_failed names what the content showed and has the field unframed.

The property test of the retry decision draws evidence now, through judgeAttempt().

--- a/include/auburnspring/decision/retry_decision.h
+++ b/include/auburnspring/decision/retry_decision.h
@@ -1,25 +1,13 @@
 #ifndef AUBURNSPRING_DECISION_RETRY_DECISION_H
 #define AUBURNSPRING_DECISION_RETRY_DECISION_H
 
+#include "auburnspring/decision/attempt_verdict.h"
 #include "auburnspring/decision/routing_table.h"
 
 #include <cstdint>
 
 namespace auburnspring {
 
-/// The end of an attempt at an upstream, as far as this host can know.
-struct AttemptReport {
-  /// A byte of the request may have been sent.
-  bool mayHaveBeenSent = false;
-  /// The response was received completely.
-  bool isComplete = false;
-  /// The upstream reports that it did not run the request.
-  bool isNotRun = false;
-  /// The response carries the upstream's signature.
-  bool isSigned = false;
-  int status = 0;
-};
-
 /// What to do after an attempt.
 enum class RetryDecision {
   /// Relay the upstream's response to the caller.
@@ -44,17 +32,14 @@
 /// Limit on all attempts of one request, including refused ones.
 constexpr std::int64_t MaxAttemptsPerRequest = 4;
 
-/// True if the attempt may have run at the upstream.
-bool mayHaveRun(const AttemptReport &report);
-
 /// The only place that decides whether a request is retried and what its caller
 /// is sent. Before a retry, the code that calls it charges the retry budget
 /// and, if that is spent, uses `decideWithoutRetry` instead.
-RetryDecision decideRetry(const ServedRoute &route, const AttemptReport &report,
+RetryDecision decideRetry(const ServedRoute &route, AttemptVerdict verdict,
                           const AttemptLimits &limits);
 /// The decision without a retry. `possibleRuns` is as in AttemptLimits: if an
 /// earlier attempt may have run, the result is never ReportNotRun.
-RetryDecision decideWithoutRetry(const AttemptReport &report,
+RetryDecision decideWithoutRetry(AttemptVerdict verdict,
                                  std::int64_t possibleRuns);
 
 } // namespace auburnspring
--- a/include/auburnspring/http/client_call.h
+++ b/include/auburnspring/http/client_call.h
@@ -76,6 +76,10 @@
   /// response has no end within `bytes`. Writes a log line.
   void endUnbounded(std::string_view part, std::size_t bytes);
 
+  /// True if the response has neither a length nor chunks, so that it ends with
+  /// its connection. Known from its head on.
+  bool isCloseDelimited() const;
+
   /// True once a byte of the request may have been sent.
   bool mayHaveBeenSent() const;
 
--- a/include/auburnspring/serving/active_request.h
+++ b/include/auburnspring/serving/active_request.h
@@ -1,6 +1,7 @@
 #ifndef AUBURNSPRING_SERVING_ACTIVE_REQUEST_H
 #define AUBURNSPRING_SERVING_ACTIVE_REQUEST_H
 
+#include "auburnspring/decision/retry_decision.h"
 #include "auburnspring/decision/stage_plan.h"
 #include "auburnspring/http/exchange.h"
 #include "auburnspring/http/timer.h"
@@ -74,8 +75,8 @@
                     void (ActiveRequest::*next)());
   /// The attempt shows that its parts crash no upstream.
   void noteSound(Attempt *attempt);
-  /// The upstream broke off the attempt: its parts may be the cause.
-  void noteBroken(const Attempt &attempt);
+  /// Tells the guard what the end of the attempt shows of its parts.
+  void reportParts(Attempt *attempt);
 
   // Streams that go on.
   /// True for a request that takes up a stream of which the caller has events.
@@ -147,7 +148,6 @@
     return context_->engineSpeeds[poolName_];
   }
   ForwardingParams forwardingParams(const UpstreamState &upstream) const;
-  bool isEventStream(const Attempt &attempt) const;
   void onHead(Attempt *attempt);
   /// Leaves the other attempt of a stream a bounded time after this one began.
   void boundOverlap(Attempt *attempt);
@@ -159,12 +159,13 @@
   /// Makes the attempt the only one, since its events are forwarded now.
   void keepOnly(Attempt *attempt);
   void onAttemptEnd(Attempt *attempt);
-  void onStreamEnd(Attempt *attempt);
   void rerunStages(Attempt *attempt);
   /// A complete response with a server error of an attempt of a call; null if
   /// there is none.
   Attempt *errorResponse() const;
-  void decideNextStep(const AttemptReport &report, Attempt *attempt);
+  void decideNextStep(Attempt *attempt);
+  /// The peer has refused the request or answered it other than by events.
+  bool hasPeerReply(const Attempt &attempt) const;
   /// The parts of the prompt that other requests may share: all but the last.
   absl::Span<const PromptPart> sharedParts() const;
   /// Names of the first of them, for a log line.
--- a/include/auburnspring/serving/attempt.h
+++ b/include/auburnspring/serving/attempt.h
@@ -1,7 +1,7 @@
 #ifndef AUBURNSPRING_SERVING_ATTEMPT_H
 #define AUBURNSPRING_SERVING_ATTEMPT_H
 
-#include "auburnspring/decision/retry_decision.h"
+#include "auburnspring/decision/attempt_verdict.h"
 #include "auburnspring/decision/stream_pace.h"
 #include "auburnspring/decision/upstream_state.h"
 #include "auburnspring/http/client_call.h"
@@ -30,6 +30,16 @@
   std::int64_t pending = 0;
 };
 
+/// What the response to an attempt should be.
+enum class ExpectedBody {
+  /// Bytes that this host doesn't read.
+  Opaque,
+  /// A stream of events from its beginning.
+  Events,
+  /// The rest of a stream whose first events the caller has.
+  FurtherEvents,
+};
+
 /// One dispatch of a request to one upstream. It counts toward the upstream's
 /// load from start() until it ends or is cancelled.
 class Attempt {
@@ -44,7 +54,7 @@
 
   Attempt(asio::io_context &io, const Dialect *dialect,
           UpstreamStatePtr upstream, AttemptTokens tokens,
-          ResponseBudget *budget);
+          ExpectedBody expected, ResponseBudget *budget);
   ~Attempt();
   Attempt(const Attempt &) = delete;
   Attempt &operator=(const Attempt &) = delete;
@@ -63,9 +73,9 @@
   /// Called at the first event of a stream: the engine has finished prefill.
   void notePrefillDone();
 
-  /// True if an event at `lastEventAt` is this long after the attempt's first
-  /// one, which the first call notes.
-  bool hasLastedFor(Duration span, TimePoint lastEventAt);
+  /// Notes an event that the caller did not have. Returns true if it is at
+  /// least `span` after the attempt's first one.
+  bool noteEvent(TimePoint at, Duration span);
   /// The attempt has shown that its request crashes no upstream.
   bool isSound() const { return isSound_; }
   void setSound() { isSound_ = true; }
@@ -80,6 +90,8 @@
   const UpstreamStatePtr &upstreamState() const { return upstream_; }
   UpstreamState *mutableUpstream() { return upstream_.get(); }
   bool hasHead() const { return head_.status != 0; }
+  /// The response is a stream of events that may be forwarded.
+  bool isEventStream() const;
   const http::ResponseHead &head() const { return head_; }
   const ResponseInfo &responseInfo() const { return responseInfo_; }
   const std::string &body() const { return body_; }
@@ -94,14 +106,18 @@
   StreamPace &pace() { return pace_; }
   TimePoint startedAt() const { return startedAt_; }
   const AttemptTokens &tokens() const { return tokens_; }
-  bool hasEnded() const { return ended_; }
-  http::CallStatus callStatus() const { return callStatus_; }
+  bool hasEnded() const { return verdict_.has_value(); }
+  /// How the attempt ended; not set before that, or if it was cancelled.
+  std::optional<AttemptVerdict> verdict() const { return verdict_; }
+  /// The response has neither a length nor chunks.
+  bool isUnframed() const;
+  /// Why the verdict is not Answered, for log lines.
   const std::string &failureReason() const { return failureReason_; }
 
-  /// Input of decideRetry().
-  AttemptReport report() const;
-
 private:
+  void end(http::CallStatus callStatus, std::string_view reason);
+  AttemptEvidence evidence(http::CallStatus callStatus) const;
+  ContentEnd contentEnd() const;
   /// Removes this attempt from the load of the upstream.
   void releaseLoad();
   /// Frees a body that is of no use any more.
@@ -110,6 +126,7 @@
   const Dialect *dialect_;
   UpstreamStatePtr upstream_;
   AttemptTokens tokens_;
+  ExpectedBody expected_;
   PermitLeasePtr lease_;
   Events events_;
   http::ResponseHead head_;
@@ -127,8 +144,7 @@
   bool isHandOver_ = false;
   std::optional<TimePoint> firstEventAt_;
   bool loadReleased_ = true;
-  bool ended_ = false;
-  http::CallStatus callStatus_ = http::CallStatus::NotSent;
+  std::optional<AttemptVerdict> verdict_;
   std::string failureReason_;
   asio::io_context &io_;
   std::unique_ptr<http::ClientCall> call_;
--- a/src/auburnspring/decision/retry_decision.cpp
+++ b/src/auburnspring/decision/retry_decision.cpp
@@ -2,47 +2,31 @@
 
 namespace auburnspring {
 
-namespace {
-
-constexpr int FirstServerError = 500;
-
-bool isUsable(const AttemptReport &report) {
-  return report.isComplete && report.isSigned;
-}
-
-bool isServerError(const AttemptReport &report) {
-  return report.status >= FirstServerError;
-}
-
-} // namespace
-
-bool mayHaveRun(const AttemptReport &report) {
-  return report.mayHaveBeenSent && !report.isNotRun;
-}
-
-RetryDecision decideRetry(const ServedRoute &route, const AttemptReport &report,
+RetryDecision decideRetry(const ServedRoute &route, AttemptVerdict verdict,
                           const AttemptLimits &limits) {
-  if (isUsable(report) && !report.isNotRun && !isServerError(report))
+  if (verdict == AttemptVerdict::Answered)
     return RetryDecision::RelayResponse;
   const bool mayAttempt =
       limits.attemptCount < MaxAttemptsPerRequest && limits.hasTime;
-  if (!mayHaveRun(report))
+  if (!mayHaveRun(verdict))
     return mayAttempt ? RetryDecision::RetryElsewhere
-                      : decideWithoutRetry(report, limits.possibleRuns);
+                      : decideWithoutRetry(verdict, limits.possibleRuns);
   const bool mayRetry = route.isRetryable() &&
                         limits.possibleRuns < route.maxAttempts && mayAttempt;
   return mayRetry ? RetryDecision::RetryElsewhere
-                  : decideWithoutRetry(report, limits.possibleRuns);
+                  : decideWithoutRetry(verdict, limits.possibleRuns);
 }
 
-RetryDecision decideWithoutRetry(const AttemptReport &report,
+RetryDecision decideWithoutRetry(AttemptVerdict verdict,
                                  std::int64_t possibleRuns) {
-  if (!mayHaveRun(report))
+  if (!mayHaveRun(verdict))
     return possibleRuns > 0 ? RetryDecision::ReportUnknown
                             : RetryDecision::ReportNotRun;
-  // A complete, signed error response is relayed like any other.
-  return isUsable(report) ? RetryDecision::RelayResponse
-                          : RetryDecision::ReportUnknown;
+  // A server error of the upstream is relayed like any other response.
+  const bool isUpstreams = verdict == AttemptVerdict::Answered ||
+                           verdict == AttemptVerdict::ServerError;
+  return isUpstreams ? RetryDecision::RelayResponse
+                     : RetryDecision::ReportUnknown;
 }
 
 } // namespace auburnspring
--- a/src/auburnspring/decision/serving_decisions_test.cpp
+++ b/src/auburnspring/decision/serving_decisions_test.cpp
@@ -39,36 +39,36 @@
 TEST_CASE("retry: only requests that can't have run are retried or reported "
           "not run") {
   const ServedRoute nonRetryable = route(RetryPolicy::Never);
-  AttemptReport notSent;
+  const AttemptVerdict notSent = AttemptVerdict::NotSent;
   CHECK(decideRetry(nonRetryable, notSent, {0, 1, true}) ==
         RetryDecision::RetryElsewhere);
   CHECK(decideRetry(nonRetryable, notSent, {0, MaxAttemptsPerRequest, true}) ==
         RetryDecision::ReportNotRun);
   CHECK(decideRetry(nonRetryable, notSent, {0, 1, false}) ==
         RetryDecision::ReportNotRun);
-  AttemptReport refused{true, true, true, false, 503};
+  const AttemptVerdict refused = AttemptVerdict::NotRun;
   CHECK(decideRetry(nonRetryable, refused, {0, 1, true}) ==
         RetryDecision::RetryElsewhere);
   CHECK(decideWithoutRetry(refused, 0) == RetryDecision::ReportNotRun);
   CHECK(decideWithoutRetry(refused, 1) == RetryDecision::ReportUnknown);
-  AttemptReport connectionLost{true, false, false, false, 0};
+  const AttemptVerdict connectionLost = AttemptVerdict::Broken;
   CHECK(decideRetry(nonRetryable, connectionLost, {1, 1, true}) ==
         RetryDecision::ReportUnknown);
-  AttemptReport unsignedOk{true, true, false, false, 200};
+  const AttemptVerdict unsignedOk = AttemptVerdict::Unusable;
   CHECK(decideRetry(nonRetryable, unsignedOk, {1, 1, true}) ==
         RetryDecision::ReportUnknown);
-  AttemptReport serverError{true, true, false, true, 500};
+  const AttemptVerdict serverError = AttemptVerdict::ServerError;
   CHECK(decideRetry(nonRetryable, serverError, {1, 1, true}) ==
         RetryDecision::RelayResponse);
-  AttemptReport succeeded{true, true, false, true, 200};
+  const AttemptVerdict succeeded = AttemptVerdict::Answered;
   CHECK(decideRetry(nonRetryable, succeeded, {1, 1, true}) ==
         RetryDecision::RelayResponse);
 }
 
 TEST_CASE("retry: a retryable request is retried up to its attempt limit") {
   const ServedRoute retryable = route(RetryPolicy::Always);
-  const AttemptReport connectionLost{true, false, false, false, 0};
-  const AttemptReport serverError{true, true, false, true, 500};
+  const AttemptVerdict connectionLost = AttemptVerdict::Broken;
+  const AttemptVerdict serverError = AttemptVerdict::ServerError;
   CHECK(decideRetry(retryable, connectionLost, {1, 1, true}) ==
         RetryDecision::RetryElsewhere);
   CHECK(decideRetry(retryable, serverError, {1, 1, true}) ==
@@ -84,14 +84,22 @@
 }
 
 TEST_CASE("retry: a request that may have run is never reported not run") {
-  CHECK(rc::check([](bool sent, bool isComplete, bool isSigned, int status,
+  CHECK(rc::check([](bool isGenuine, bool needsOk, int status,
                      std::int64_t possibleRuns, std::int64_t attemptCount,
                      bool hasTime) {
-    const AttemptReport report{sent, isComplete, false, isSigned, status};
-    RC_PRE(sent);
+    AttemptEvidence sent;
+    sent.end = *rc::gen::element(ResponseEnd::Lost, ResponseEnd::TimedOut,
+                                 ResponseEnd::Closed, ResponseEnd::Framed);
+    sent.content = *rc::gen::element(
+        ContentEnd::Opaque, ContentEnd::AtBoundary, ContentEnd::InsideEvent,
+        ContentEnd::NoEvent, ContentEnd::NoFurtherEvent, ContentEnd::Malformed);
+    sent.status = status;
+    sent.isGenuine = isGenuine;
+    sent.needsOk = needsOk;
+    const AttemptVerdict verdict = judgeAttempt(sent);
     for (const RetryPolicy policy : {RetryPolicy::Never, RetryPolicy::Always}) {
       const RetryDecision decision = decideRetry(
-          route(policy), report, {possibleRuns, attemptCount, hasTime});
+          route(policy), verdict, {possibleRuns, attemptCount, hasTime});
       RC_ASSERT(decision != RetryDecision::ReportNotRun);
       if (policy == RetryPolicy::Never)
         RC_ASSERT(decision != RetryDecision::RetryElsewhere);
--- a/src/auburnspring/http/client_call.cpp
+++ b/src/auburnspring/http/client_call.cpp
@@ -51,6 +51,7 @@
   void start(const RequestHead &head, std::string_view body);
   void cancel();
   void endUnbounded(std::string_view part, std::size_t bytes);
+  bool isCloseDelimited() const { return isCloseDelimited_; }
   bool mayHaveBeenSent() const { return mayHaveBeenSent_; }
 
 private:
@@ -86,6 +87,8 @@
   /// True within the body of a response that is skipped.
   bool skippingResponse_ = false;
   bool isInterim_ = false;
+  /// Of the response that is passed on.
+  bool isCloseDelimited_ = false;
   bool ended_ = false;
 };
 
@@ -209,7 +212,10 @@
   isInterim_ = head.status / 100 == 1;
   skippingResponse_ =
       isInterim_ || (options_.matchesRequest && !options_.matchesRequest(head));
-  if (!skippingResponse_ && callbacks_.onHead)
+  if (skippingResponse_)
+    return;
+  isCloseDelimited_ = reader_.isCloseDelimited();
+  if (callbacks_.onHead)
     callbacks_.onHead(std::move(head));
 }
 
@@ -276,6 +282,7 @@
   const std::shared_ptr<Impl> impl = impl_;
   impl->endUnbounded(part, bytes);
 }
+bool ClientCall::isCloseDelimited() const { return impl_->isCloseDelimited(); }
 bool ClientCall::mayHaveBeenSent() const { return impl_->mayHaveBeenSent(); }
 
 } // namespace auburnspring::http
--- a/src/auburnspring/serving/active_request.cpp
+++ b/src/auburnspring/serving/active_request.cpp
@@ -157,7 +157,6 @@
 void ActiveRequest::relay(Attempt *attempt) {
   const int status = attempt->head().status;
   respondingUpstream_ = attempt->upstream().entry.id;
-  noteSound(attempt);
   const TimePoint now = steadyNow();
   for (const auto &other : attempts_)
     if (!other->hasEnded() && other->startedAt() < attempt->startedAt())
--- a/src/auburnspring/serving/active_request_attempts.cpp
+++ b/src/auburnspring/serving/active_request_attempts.cpp
@@ -159,9 +159,12 @@
   triedUpstreams_.push_back(upstream->entry.id);
   ++possibleRuns_;
   Attempt::Events events;
+  const ExpectedBody expected = !route_->isStream ? ExpectedBody::Opaque
+                                : streamStarted_  ? ExpectedBody::FurtherEvents
+                                                  : ExpectedBody::Events;
   auto attempt =
       std::make_unique<Attempt>(*context_->io, context_->dialect, upstream,
-                                tokens, &context_->responseBudget);
+                                tokens, expected, &context_->responseBudget);
   Attempt *raw = attempt.get();
   events.onHead = [this, raw] { onHead(raw); };
   events.onBody = [this, raw](std::string_view bytes) { onBody(raw, bytes); };
@@ -172,11 +175,6 @@
   return raw;
 }
 
-bool ActiveRequest::isEventStream(const Attempt &attempt) const {
-  return route_->isStream && attempt.head().status == 200 &&
-         attempt.responseInfo().isSigned && !attempt.responseInfo().isEncoded;
-}
-
 void ActiveRequest::onHead(Attempt *attempt) {
   if (attempt->isHandOver()) {
     if (attempt->head().headers.find(NotRunHeader) != nullptr)
@@ -196,14 +194,14 @@
   const bool otherBegan =
       !streamStarted_ &&
       std::any_of(attempts_.begin(), attempts_.end(), [&](const auto &other) {
-        return other.get() != attempt && isEventStream(*other);
+        return other.get() != attempt && other->isEventStream();
       });
-  if (isEventStream(*attempt) && !isOnly && !otherBegan)
+  if (attempt->isEventStream() && !isOnly && !otherBegan)
     boundOverlap(attempt);
 }
 
 void ActiveRequest::onBody(Attempt *attempt, std::string_view bytes) {
-  if (isEventStream(*attempt))
+  if (attempt->isEventStream())
     return onEvents(attempt, bytes);
   if (done_)
     return;
@@ -261,7 +259,7 @@
   if (!streamStarted_)
     startStream(attempt);
   attempt->notePrefillDone();
-  if (attempt->hasLastedFor(SoundStreamTime, lastEventAt_))
+  if (attempt->noteEvent(lastEventAt_, SoundStreamTime))
     noteSound(attempt);
   exchange_->write(events);
   if (exchange_->pendingBytes() > MaxPendingBytes)
@@ -317,31 +315,37 @@
 void ActiveRequest::recordHealth(Attempt *attempt) {
   const TimePoint now = steadyNow();
   UpstreamState *upstream = attempt->mutableUpstream();
-  const AttemptReport report = attempt->report();
-  const char *end = "answered";
-  if (!report.mayHaveBeenSent) {
+  const AttemptVerdict verdict = *attempt->verdict();
+  const char *end = verdictName(verdict);
+  switch (verdict) {
+  case AttemptVerdict::NotSent:
     recordUnreachable(upstream, now);
     if (!attempt->isHandOver())
       context_->reach->onUnreachable(upstream, attempt->startedAt());
-    end = "unreachable";
-  } else if (report.isNotRun) {
-    recordUpstreamFailure(upstream, now);
-    end = "not_run";
-  } else if (!report.isComplete || !report.isSigned || report.status >= 500) {
+    break;
+  case AttemptVerdict::NotRun:
+  case AttemptVerdict::Broken:
+  case AttemptVerdict::TimedOut:
+  case AttemptVerdict::Unusable:
+  case AttemptVerdict::ServerError:
     recordUpstreamFailure(upstream, now);
-    end = report.isComplete ? "failed" : "broken";
-  } else if (!route_->isStream) {
-    recordResponse(upstream, now - attempt->startedAt(), now);
+    break;
+  case AttemptVerdict::Answered:
+    // The latency of a stream was recorded with its first event.
+    if (!route_->isStream)
+      recordResponse(upstream, now - attempt->startedAt(), now);
+    break;
   }
   context_->metrics.countAttempt(poolName_, end);
-  if (end != std::string("answered"))
+  if (verdict != AttemptVerdict::Answered)
     logEvent(LogLevel::Info, "attempt_failed",
              {{"id", request_.id},
               {"route", route_->name},
               {"upstream", upstream->entry.id},
               {"end", end},
-              {"status", report.status},
+              {"status", attempt->head().status},
               {"why", attempt->failureReason()},
+              {"unframed", attempt->isUnframed()},
               {"events", static_cast<long>(attempt->meter().eventCount())},
               {"parts", loggedParts()},
               {"request", requestName_},
@@ -351,55 +355,41 @@
 }
 
 void ActiveRequest::onAttemptEnd(Attempt *attempt) {
+  const AttemptVerdict verdict = *attempt->verdict();
   recordHealth(attempt);
-  noteBroken(*attempt);
-  if (!attempt->report().mayHaveBeenSent || attempt->report().isNotRun)
+  reportParts(attempt);
+  if (!mayHaveRun(verdict))
     --possibleRuns_;
   if (callerDisconnected_)
     return finish("caller_gone", 0, "caller_gone");
-  if (route_->isStream && attempt->hasHead() &&
-      (streamStarted_ || attempt->head().status == 200))
-    return onStreamEnd(attempt);
-  decideNextStep(attempt->report(), attempt);
-}
-
-void ActiveRequest::onStreamEnd(Attempt *attempt) {
-  context_->speeds.onStreamEnd(attempt, steadyNow());
-  const AttemptReport report = attempt->report();
-  const bool isComplete = report.isComplete && report.isSigned &&
-                          streamStarted_ && report.status == 200 &&
-                          !attempt->splitter().hasPartialEvent();
-  if (isComplete) {
-    noteSound(attempt);
+  if (attempt->isEventStream() && verdict == AttemptVerdict::Answered) {
+    context_->speeds.onStreamEnd(attempt, steadyNow());
     exchange_->end();
     return finish("complete", 200, "");
   }
-  AttemptReport incomplete = report;
-  incomplete.isComplete = false;
-  decideNextStep(incomplete, attempt);
+  decideNextStep(attempt);
 }
 
 bool ActiveRequest::takeRetry() {
   return context_->retryQuota.spend(poolName_, 1, steadyNow());
 }
 
-void ActiveRequest::decideNextStep(const AttemptReport &report,
-                                   Attempt *attempt) {
+void ActiveRequest::decideNextStep(Attempt *attempt) {
+  const AttemptVerdict verdict = *attempt->verdict();
   // The other attempt of a hedged stream may still go on.
   if (route_->isStream && (hasLiveAttempt() || hedgeAwaitsStages_)) {
-    if (isStalled_ && !mayHaveRun(report))
+    if (isStalled_ && !mayHaveRun(verdict))
       retryHedge(attempt);
     return;
   }
-  if (attempt->isHandOver() && report.isComplete && !report.isNotRun &&
-      !streamStarted_)
+  if (hasPeerReply(*attempt) && !streamStarted_)
     return relayFromPeer(attempt);
   const bool inputsGone = attempt->responseInfo().areInputsGone;
   AttemptLimits limits;
   limits.possibleRuns = possibleRuns_;
   limits.attemptCount = static_cast<std::int64_t>(triedUpstreams_.size());
   limits.hasTime = timeLeft() > MinAttemptTime;
-  RetryDecision step = decideRetry(*route_, report, limits);
+  RetryDecision step = decideRetry(*route_, verdict, limits);
   if (step == RetryDecision::RetryElsewhere && hasLiveAttempt())
     return;
   // Before the stages run again, and before a retry is spent.
@@ -407,10 +397,10 @@
       !mustHandOver() && selectUpstream({}).engine == nullptr)
     return abortStream(missingUpstreamReason());
   if (step == RetryDecision::RetryElsewhere && !takeRetry())
-    step = decideWithoutRetry(report, possibleRuns_);
+    step = decideWithoutRetry(verdict, possibleRuns_);
   // A hedge may still bring a better response than an error.
-  const bool isSuccess =
-      step == RetryDecision::RelayResponse && report.status < 500;
+  const bool isSuccess = step == RetryDecision::RelayResponse &&
+                         verdict == AttemptVerdict::Answered;
   if (!isSuccess && hasLiveAttempt())
     return;
   if (step == RetryDecision::RetryElsewhere) {
@@ -433,9 +423,8 @@
 Attempt *ActiveRequest::errorResponse() const {
   const auto found = std::find_if(
       attempts_.begin(), attempts_.end(), [this](const auto &attempt) {
-        const AttemptReport report = attempt->report();
-        return !route_->isStream && report.isComplete && report.isSigned &&
-               !report.isNotRun;
+        return !route_->isStream &&
+               attempt->verdict() == AttemptVerdict::ServerError;
       });
   return found == attempts_.end() ? nullptr : found->get();
 }
--- a/src/auburnspring/serving/active_request_hand_over.cpp
+++ b/src/auburnspring/serving/active_request_hand_over.cpp
@@ -49,8 +49,13 @@
   attempt->start(head, exchange_->body, request_.id, steadyNow());
 }
 
+bool ActiveRequest::hasPeerReply(const Attempt &attempt) const {
+  const bool isStream = route_->isStream && attempt.head().status == 200;
+  return attempt.isHandOver() && isComplete(*attempt.verdict()) && !isStream;
+}
+
 void ActiveRequest::relayFromPeer(Attempt *attempt) {
-  if (attempt->report().isSigned)
+  if (*attempt->verdict() != AttemptVerdict::Unusable)
     return relay(attempt);
   const int status = attempt->head().status;
   // It may have run, and has been tried as often as its route allows.
--- a/src/auburnspring/serving/active_request_parts.cpp
+++ b/src/auburnspring/serving/active_request_parts.cpp
@@ -63,20 +63,20 @@
 }
 
 void ActiveRequest::noteSound(Attempt *attempt) {
-  if (attempt->isHandOver() || attempt->isSound() ||
-      attempt->head().status >= 500 || attempt->responseInfo().isNotRun)
+  if (attempt->isHandOver() || attempt->isSound())
     return;
   attempt->setSound();
   context_->partGuard->onSound(partNames_);
 }
 
-void ActiveRequest::noteBroken(const Attempt &attempt) {
-  const AttemptReport report = attempt.report();
-  if (attempt.isHandOver() || attempt.isSound() || report.isComplete ||
-      !mayHaveRun(report))
+void ActiveRequest::reportParts(Attempt *attempt) {
+  if (*attempt->verdict() == AttemptVerdict::Answered)
+    return noteSound(attempt);
+  if (*attempt->verdict() != AttemptVerdict::Broken || attempt->isHandOver() ||
+      attempt->isSound())
     return;
-  context_->partGuard->onBroken(partNames_, attempt.upstream().entry,
-                                steadyNow() - attempt.startedAt());
+  context_->partGuard->onBroken(partNames_, attempt->upstream().entry,
+                                steadyNow() - attempt->startedAt());
 }
 
 } // namespace auburnspring
--- a/src/auburnspring/serving/attempt.cpp
+++ b/src/auburnspring/serving/attempt.cpp
@@ -1,12 +1,14 @@
 #include "auburnspring/serving/attempt.h"
 
+#include "auburnspring/serving/response_end.h"
+
 namespace auburnspring {
 
 Attempt::Attempt(asio::io_context &io, const Dialect *dialect,
                  UpstreamStatePtr upstream, AttemptTokens tokens,
-                 ResponseBudget *budget)
+                 ExpectedBody expected, ResponseBudget *budget)
     : dialect_(dialect), upstream_(std::move(upstream)), tokens_(tokens),
-      share_(budget), io_(io) {}
+      expected_(expected), share_(budget), io_(io) {}
 
 Attempt::~Attempt() { releaseLoad(); }
 
@@ -34,19 +36,52 @@
   callbacks.onBody = [this](std::string_view bytes) { events_.onBody(bytes); };
   callbacks.onEnd = [this](http::CallStatus callStatus,
                            std::string_view reason) {
-    ended_ = true;
-    callStatus_ = callStatus;
-    failureReason_ = std::string(reason);
-    if (callStatus != http::CallStatus::Complete)
-      discardBody();
-    releaseLoad();
-    events_.onEnd();
+    end(callStatus, reason);
   };
   call_ = std::make_unique<http::ClientCall>(io_, std::move(options),
                                              std::move(callbacks));
   call_->start(head, body);
 }
 
+void Attempt::end(http::CallStatus callStatus, std::string_view reason) {
+  const AttemptEvidence known = evidence(callStatus);
+  verdict_ = judgeAttempt(known);
+  failureReason_ = std::string(reason.empty() ? describe(known) : reason);
+  if (!isComplete(*verdict_))
+    discardBody();
+  releaseLoad();
+  events_.onEnd();
+}
+
+AttemptEvidence Attempt::evidence(http::CallStatus callStatus) const {
+  AttemptEvidence evidence;
+  evidence.end = responseEnd(callStatus, call_->isCloseDelimited());
+  evidence.content = contentEnd();
+  evidence.status = head_.status;
+  evidence.isNotRun = responseInfo_.isNotRun;
+  evidence.isGenuine = responseInfo_.isSigned && !responseInfo_.isEncoded;
+  evidence.needsOk = expected_ == ExpectedBody::FurtherEvents;
+  return evidence;
+}
+
+ContentEnd Attempt::contentEnd() const {
+  if (!isEventStream())
+    return ContentEnd::Opaque;
+  if (splitter_.hasPartialEvent())
+    return ContentEnd::InsideEvent;
+  if (firstEventAt_)
+    return ContentEnd::AtBoundary;
+  return expected_ == ExpectedBody::FurtherEvents ? ContentEnd::NoFurtherEvent
+                                                  : ContentEnd::NoEvent;
+}
+
+bool Attempt::isEventStream() const {
+  return expected_ != ExpectedBody::Opaque && head_.status == 200 &&
+         responseInfo_.isSigned && !responseInfo_.isEncoded;
+}
+
+bool Attempt::isUnframed() const { return call_ && call_->isCloseDelimited(); }
+
 void Attempt::cancel() {
   if (call_)
     call_->cancel();
@@ -84,9 +119,9 @@
   upstream_->prefillTokens -= tokens_.prefill;
 }
 
-bool Attempt::hasLastedFor(Duration span, TimePoint lastEventAt) {
-  firstEventAt_ = firstEventAt_.value_or(lastEventAt);
-  return lastEventAt >= *firstEventAt_ + span;
+bool Attempt::noteEvent(TimePoint at, Duration span) {
+  firstEventAt_ = firstEventAt_.value_or(at);
+  return at >= *firstEventAt_ + span;
 }
 
 void Attempt::releaseLoad() {
@@ -96,22 +131,9 @@
   loadReleased_ = true;
   --upstream_->inFlight;
   upstream_->reservedTokens -= tokens_.kvCache;
-  if (lease_ && responseInfo_.isRejection())
-    lease_->setEnd(PermitEnd::Rejected);
-  else if (lease_ && !ended_)
-    lease_->setEnd(PermitEnd::Cancelled);
+  if (lease_)
+    lease_->setEnd(permitEnd(verdict_, responseInfo_.isRejection()));
   lease_.reset();
 }
 
-AttemptReport Attempt::report() const {
-  AttemptReport report;
-  report.mayHaveBeenSent =
-      !ended_ || callStatus_ != http::CallStatus::NotSent || head_.status != 0;
-  report.isComplete = ended_ && callStatus_ == http::CallStatus::Complete;
-  report.isNotRun = head_.status != 0 && responseInfo_.isNotRun;
-  report.isSigned = responseInfo_.isSigned && !responseInfo_.isEncoded;
-  report.status = head_.status;
-  return report;
-}
-
 } // namespace auburnspring
