A stage call without length that is cut is a crash

Cause: PieceDispatcher::endBatch judged a response that ends with its connection by the transport; that its JSON did not parse made it a failure only.

Change: endBatch collects the same evidence and asks judgeAttempt(); status of the batch, crashes of jobs, permit, counter and log follow from the verdict. A response without length that does not parse broke off. One with a length or chunks that does not parse stays a failure: its upstream lived to complete it. Not-Executed counts whatever becomes of the body after it, as for calls.

--- a/include/auburnspring/serving/piece_dispatcher.h
+++ b/include/auburnspring/serving/piece_dispatcher.h
@@ -1,6 +1,7 @@
 #ifndef AUBURNSPRING_SERVING_PIECE_DISPATCHER_H
 #define AUBURNSPRING_SERVING_PIECE_DISPATCHER_H
 
+#include "auburnspring/decision/attempt_verdict.h"
 #include "auburnspring/decision/piece_batcher.h"
 #include "auburnspring/decision/upstream_registry.h"
 #include "auburnspring/http/client_call.h"
@@ -122,6 +123,8 @@
     ResponseShare share;
     std::string body;
     bool notRun = false;
+    /// The upstream turned the call away for want of room.
+    bool isRejection = false;
     TimePoint startedAt;
     UpstreamStatePtr upstream;
     PermitLeasePtr lease;
@@ -154,11 +157,11 @@
   void dispatchIfLimited(const std::string &pool);
   void startBatch(const std::string &pool, const PieceBatch &batch);
   void onBatchHead(BatchCall *call, const http::ResponseHead &head);
-  void endBatch(BatchCall *ended, http::CallStatus callStatus,
-                std::string_view failure);
+  /// `failure` is what the transport says; empty if the call completed.
+  void endBatch(BatchCall *ended, ResponseEnd end, std::string_view failure);
   void scheduleDispatch(PoolBatcher *poolBatcher, TimePoint now);
   /// Tells the guard what a batch shows of the jobs in it.
-  void reportJobs(const std::vector<std::string> &names, BatchStatus status,
+  void reportJobs(const std::vector<std::string> &names, AttemptVerdict verdict,
                   const BatchCall &call);
   void queueRelease(const std::vector<std::string> &results);
   void flushReleases();
--- a/src/auburnspring/serving/piece_dispatcher.cpp
+++ b/src/auburnspring/serving/piece_dispatcher.cpp
@@ -4,6 +4,7 @@
 #include "auburnspring/base/log.h"
 #include "auburnspring/serving/part_guard_exchange.h"
 #include "auburnspring/serving/reach_exchange.h"
+#include "auburnspring/serving/response_end.h"
 #include "auburnspring/serving/upstream_statements.h"
 
 #include <algorithm>
@@ -30,12 +31,28 @@
 /// A job without an outcome is submitted again, in case a message was lost.
 constexpr Duration ResubmitAfter = std::chrono::milliseconds(1500);
 constexpr std::size_t MaxResponseBytes = 4 << 20;
-/// Reason of a batch call that times out.
-constexpr std::string_view Silent = "silent";
+constexpr int Ok = 200;
 /// Delay before the jobs of a reassigned pool are transferred, so that all
 /// hosts agree on the new batching host.
 constexpr Duration TransferDelay = std::chrono::milliseconds(300);
 
+BatchStatus batchStatus(AttemptVerdict verdict) {
+  switch (verdict) {
+  case AttemptVerdict::NotSent:
+  case AttemptVerdict::NotRun:
+    return BatchStatus::NotRun;
+  case AttemptVerdict::Broken:
+    return BatchStatus::Broken;
+  case AttemptVerdict::TimedOut:
+  case AttemptVerdict::Unusable:
+  case AttemptVerdict::ServerError:
+    return BatchStatus::Failed;
+  case AttemptVerdict::Answered:
+    return BatchStatus::Responded;
+  }
+  return BatchStatus::Failed;
+}
+
 } // namespace
 
 PieceDispatcher::PieceDispatcher(asio::io_context &io, const Dialect *dialect,
@@ -307,7 +324,8 @@
   };
   callbacks.onEnd = [this, &call](http::CallStatus callStatus,
                                   std::string_view failure) {
-    endBatch(&call, callStatus, failure);
+    endBatch(&call, responseEnd(callStatus, call.call->isCloseDelimited()),
+             failure);
   };
   const BatchLimits *limits = batchLimits_(pool);
   const Duration expected =
@@ -317,9 +335,9 @@
                 limits->itemTime * static_cast<std::int64_t>(call.items);
   call.timer.startAfter(expected * BatchTimeoutFactor, [this, &call] {
     endBatch(&call,
-             call.call->mayHaveBeenSent() ? http::CallStatus::Failed
-                                          : http::CallStatus::NotSent,
-             Silent);
+             call.call->mayHaveBeenSent() ? ResponseEnd::TimedOut
+                                          : ResponseEnd::NotSent,
+             "silent");
   });
   logEvent(LogLevel::Info, "batch_sent",
            {{"pool", pool},
@@ -340,8 +358,7 @@
   const ResponseInfo response = dialect_->parseResponseHead(head);
   call->status = head.status;
   call->notRun = response.isNotRun;
-  if (call->lease && response.isRejection())
-    call->lease->setEnd(PermitEnd::Rejected);
+  call->isRejection = response.isRejection();
   if (reach_ != nullptr)
     reach_->onConnected(call->upstream.get(), call->startedAt);
   applyUpstreamStatements(response, call->upstream.get(), registry_,
@@ -349,65 +366,73 @@
   requestLimits_->onResponse(response, call->upstream, call->startedAt);
 }
 
-void PieceDispatcher::endBatch(BatchCall *ended, http::CallStatus callStatus,
+void PieceDispatcher::endBatch(BatchCall *ended, ResponseEnd end,
                                std::string_view failure) {
   const auto node = batches_.extract(ended->number);
   BatchCall &call = node.mapped();
   call.timer.cancel();
-  if (callStatus == http::CallStatus::NotSent && reach_ != nullptr)
-    reach_->onUnreachable(call.upstream.get(), call.startedAt);
-  const bool isBroken =
-      callStatus == http::CallStatus::Failed && failure != Silent;
-  BatchStatus batchStatus =
-      isBroken ? BatchStatus::Broken : BatchStatus::Failed;
   std::vector<PieceResult> results;
-  std::string reason(failure);
-  if (callStatus == http::CallStatus::NotSent ||
-      (callStatus == http::CallStatus::Complete && call.notRun)) {
-    batchStatus = BatchStatus::NotRun;
-  } else if (callStatus == http::CallStatus::Complete && call.status == 200) {
+  AttemptEvidence evidence;
+  evidence.end = end;
+  evidence.status = call.status;
+  evidence.isNotRun = call.notRun;
+  // Stage upstreams sign nothing.
+  evidence.isGenuine = true;
+  evidence.needsOk = true;
+  const bool isReceived =
+      end == ResponseEnd::Closed || end == ResponseEnd::Framed;
+  if (isReceived && call.status == Ok) {
     absl::StatusOr<std::vector<PieceResult>> read =
         dialect_->parseBatchResponse(call.body);
-    if (read.ok() && read->size() == call.items) {
-      batchStatus = BatchStatus::Responded;
+    const bool isWhole = read.ok() && read->size() == call.items;
+    evidence.content = isWhole ? ContentEnd::AtBoundary : ContentEnd::Malformed;
+    if (isWhole)
       results = *std::move(read);
-    } else {
-      reason = "malformed response";
-    }
   }
+  const AttemptVerdict verdict = judgeAttempt(evidence);
+  if (call.lease)
+    call.lease->setEnd(permitEnd(verdict, call.isRejection));
+  if (verdict == AttemptVerdict::NotSent && reach_ != nullptr)
+    reach_->onUnreachable(call.upstream.get(), call.startedAt);
+  if (mayHaveRun(verdict) && verdict != AttemptVerdict::Answered)
+    ++counters_.failedBatches;
   const auto failed =
       std::count_if(results.begin(), results.end(), [](const PieceResult &r) {
         return r.kind != PieceResult::Kind::Result;
       });
-  if (batchStatus == BatchStatus::Failed || batchStatus == BatchStatus::Broken)
-    ++counters_.failedBatches;
-  if (batchStatus != BatchStatus::Responded || failed > 0)
-    logEvent(LogLevel::Warning, "batch_failed",
-             {{"pool", call.pool},
-              {"batch", static_cast<unsigned long>(call.number)},
-              {"upstream", call.upstream->entry.id},
-              {"status", call.status},
-              {"not_run", batchStatus == BatchStatus::NotRun},
-              {"failed_pieces", static_cast<long>(failed)},
-              {"pieces", static_cast<unsigned long>(call.items)},
-              {"why", reason},
-              {"ms", toMillis(steadyNow() - call.startedAt)}});
+  if (verdict != AttemptVerdict::Answered || failed > 0)
+    logEvent(
+        LogLevel::Warning, "batch_failed",
+        {{"pool", call.pool},
+         {"batch", static_cast<unsigned long>(call.number)},
+         {"upstream", call.upstream->entry.id},
+         {"end", verdictName(verdict)},
+         {"status", call.status},
+         {"not_run", !mayHaveRun(verdict)},
+         {"failed_pieces", static_cast<long>(failed)},
+         {"pieces", static_cast<unsigned long>(call.items)},
+         {"why", std::string(failure.empty() ? describe(evidence) : failure)},
+         {"unframed", call.call->isCloseDelimited()},
+         {"ms", toMillis(steadyNow() - call.startedAt)}});
   PieceBatcher &batcher = batcherFor(call.pool).batcher;
-  reportJobs(batcher.jobNames(call.batchNumber), batchStatus, call);
-  batcher.onBatchEnd(call.batchNumber, batchStatus, results, steadyNow());
+  reportJobs(batcher.jobNames(call.batchNumber), verdict, call);
+  batcher.onBatchEnd(call.batchNumber, batchStatus(verdict), results,
+                     steadyNow());
   dispatchBatches(call.pool);
 }
 
 void PieceDispatcher::reportJobs(const std::vector<std::string> &names,
-                                 BatchStatus status, const BatchCall &call) {
+                                 AttemptVerdict verdict,
+                                 const BatchCall &call) {
   if (partGuard_ == nullptr)
     return;
   for (const std::string &name : names) {
-    if (status == BatchStatus::Broken)
+    if (verdict == AttemptVerdict::Broken)
       partGuard_->onBroken({name}, call.upstream->entry,
                            steadyNow() - call.startedAt);
     // Most jobs are sound, and of no interest unless they are suspected.
-    else if (status == BatchStatus::Responded && partGuard_->hasCrashed(name))
+    else if (verdict == AttemptVerdict::Answered &&
+             partGuard_->hasCrashed(name))
       partGuard_->onSound({name});
   }
 }
