--- a/src/auburnspring/upstream/attempt_runner_test.cpp
+++ b/src/auburnspring/upstream/attempt_runner_test.cpp
@@ -9,6 +9,7 @@
 #include <future>
 #include <string>
 #include <thread>
+#include <vector>
 
 using namespace auburnspring;
 
@@ -153,6 +154,27 @@
       isSuccess(runAgainstUnframed(StageKind::Generate, within, false)));
 }
 
+// Guards against an end of the connection that retry, health and costs take for
+// anything but a lost response: only the last event ends a stream.
+TEST_CASE("an unframed response that ends early is lost, wherever it ends") {
+  const auto isLost = [](const Event &event) {
+    const auto *failed = std::get_if<AttemptFailed>(&event);
+    return failed != nullptr && failed->kind == FailureKind::ResponseLost;
+  };
+  const std::vector<MakeBody> cutStreams = {
+      [](const AttemptId &) { return std::string(); },
+      [](const AttemptId &id) { return streamBody(id).substr(0, 9); },
+      [](const AttemptId &id) { return completionEvent(id, 0, "a", "null"); }};
+  for (const MakeBody &body : cutStreams) {
+    CHECK(isLost(runAgainstUnframed(StageKind::Generate, body, false)));
+    CHECK(isLost(runAgainstUnframed(StageKind::Generate, body, true)));
+  }
+  CHECK(isLost(runAgainstUnframed(StageKind::Call, cutStreams[0], false)));
+  CHECK(isLost(runAgainstUnframed(
+      StageKind::Call,
+      [](const AttemptId &id) { return callBody(id).substr(0, 9); }, false)));
+}
+
 // Guards against a damaged response that is used as an answer (MIXED).
 TEST_CASE("a response with a malformed head is no success") {
   const std::string ok = "HTTP/1.1 200 OK\r\n";
