The trial of a quarantined part has an outcome

Cause, traced: hosts that had been killed lost what they knew of sound requests, three crashes followed, and the shared part was suspected, as it may be. Its trial went to a stream whose caller left after 360 ms, before anything counted as sound. The stream was cancelled, the trial was spent without an outcome, and the next one is 20 s later. In the same way a trial was spent if its upstream turned the request away (Not-Executed) or could not be reached.

Change: a trial goes on to its end although its caller has gone, and is tried at another upstream until one may have run it.

--- a/src/auburnspring/serving/active_request.cpp
+++ b/src/auburnspring/serving/active_request.cpp
@@ -121,10 +121,10 @@
 void ActiveRequest::onCallerDisconnected() {
   callerDisconnected_ = true;
   // A non-retryable request keeps running, so that it is not aborted halfway
-  // through its side effects.
-  const bool keepsRunning =
+  // through its side effects, and so does a trial: the next one may be far off.
+  const bool hasSideEffects =
       !route_->isStream && !route_->isRetryable() && hasLiveAttempt();
-  if (keepsRunning)
+  if (hasSideEffects || isTrial_)
     return;
   finish("caller_gone", 0, "caller_gone");
 }
--- a/src/auburnspring/serving/active_request_attempts.cpp
+++ b/src/auburnspring/serving/active_request_attempts.cpp
@@ -360,7 +360,8 @@
   reportParts(attempt);
   if (!mayHaveRun(verdict))
     --possibleRuns_;
-  if (callerDisconnected_)
+  const bool isTrialDue = isTrial_ && possibleRuns_ == 0;
+  if (callerDisconnected_ && !isTrialDue)
     return finish("caller_gone", 0, "caller_gone");
   if (attempt->isEventStream() && verdict == AttemptVerdict::Answered) {
     context_->speeds.onStreamEnd(attempt, steadyNow());
--- a/src/auburnspring/serving/active_request_parts.cpp
+++ b/src/auburnspring/serving/active_request_parts.cpp
@@ -47,7 +47,8 @@
 }
 
 bool ActiveRequest::holdIfQuarantined() {
-  if (isTrial_ && triedUpstreams_.empty())
+  // A trial is over once an upstream may have run it.
+  if (isTrial_ && possibleRuns_ == 0)
     return false;
   const PartQuarantines::Check check = context_->partGuard->check(partNames_);
   if (check.verdict == PartVerdict::Free)
