Soak: upstreams change the framing of their streams, and where they crash

Fault set 11: model upstreams send streams with or without chunks, drawn anew during the run, and the part that crashes them does so after the head or inside one of the first four events. Streams end inside an event where a crash breaks them off. No disruption is recorded for it.

--- a/soak/fault_injector.cpp
+++ b/soak/fault_injector.cpp
@@ -37,7 +37,9 @@
     : io_(io), cluster_(cluster), checker_(checker), random_(seed),
       kinds_(kindsOf(faultSet)), hasLimits_(faultSet >= LimitsFaultSet),
       killsAmidStreams_(faultSet >= KilledStreamsFaultSet),
-      hasSilentPairs_(faultSet >= SilentPairFaultSet), maxGap_(MaxFaultGap) {}
+      hasSilentPairs_(faultSet >= SilentPairFaultSet),
+      hasUnframedStreams_(faultSet >= UnframedStreamsFaultSet),
+      maxGap_(MaxFaultGap) {}
 
 std::vector<FaultInjector::Kind> FaultInjector::kindsOf(int faultSet) {
   using Self = FaultInjector;
@@ -98,6 +100,12 @@
        DamagedHeadsFaultSet},
       {"silence_pair", &Self::silencePair, SilentPairFaultSet},
       {"silence_corrections", &Self::silenceCorrections, SilentPairFaultSet},
+      {"workers_change_framing", &Self::upstreamsChangeFraming,
+       UnframedStreamsFaultSet},
+      {"workers_change_framing", &Self::upstreamsChangeFraming,
+       UnframedStreamsFaultSet},
+      {"workers_break_off", &Self::upstreamsAbortStreams,
+       UnframedStreamsFaultSet},
   };
   kinds.erase(
       std::remove_if(kinds.begin(), kinds.end(),
@@ -122,6 +130,8 @@
     kinds_.push_back({"silence_corrections", &Self::silenceCorrections});
     kinds_.push_back({"silence_corrections", &Self::silenceCorrections});
   }
+  if (hasUnframedStreams_)
+    kinds_.push_back({"workers_change_framing", &Self::upstreamsChangeFraming});
   if (hasLimits_)
     kinds_.push_back({"workers_name_limits", &Self::upstreamsNameLimits});
   inject(span);
--- a/soak/fault_injector.h
+++ b/soak/fault_injector.h
@@ -14,7 +14,7 @@
 public:
   /// Kinds of faults that were added together. A seed's sequence depends on the
   /// kinds, so a seed that failed is kept with the set it failed with.
-  static constexpr int LatestFaultSet = 10;
+  static constexpr int LatestFaultSet = 11;
   /// First set with upstreams of several software versions.
   static constexpr int VersionsFaultSet = 3;
   /// From this set on, one prompt part crashes upstreams.
@@ -34,6 +34,9 @@
   static constexpr int DamagedHeadsFaultSet = 9;
   /// From this set on, one channel of one pair of hosts falls silent.
   static constexpr int SilentPairFaultSet = 10;
+  /// From this set on, upstreams send streams without length or chunks, and
+  /// crash at other points of a response than right after its head.
+  static constexpr int UnframedStreamsFaultSet = 11;
 
   FaultInjector(asio::io_context &io, SoakCluster *cluster,
                 GuaranteeChecker *checker, std::uint64_t seed,
@@ -107,6 +110,7 @@
   void upstreamsDamageHeads(Duration span);
   void impairUpstreamLink(Duration span);
   void blackholeUpstream(Duration span);
+  void upstreamsChangeFraming(Duration span);
   void replaceUpstream(Duration span);
   void unlistUpstream(Duration span);
   void upstreamsFallSilent(Duration span);
@@ -128,6 +132,7 @@
   bool hasLimits_ = false;
   bool killsAmidStreams_;
   bool hasSilentPairs_;
+  bool hasUnframedStreams_;
   Duration maxGap_;
 };
 
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -55,7 +55,7 @@
   -f, --faults SECONDS how long faults are injected (12)
   -n, --hosts N        serving hosts (3)
   -c, --callers N      callers (24)
-  -k, --fault-set N    kinds of faults up to set N (9); seeds that failed with
+  -k, --fault-set N    kinds of faults up to set N (11); seeds that failed with
                        an earlier set are run with that one
   -d, --dir DIR        settings and logs of the processes (a new directory)
   -h, --help           show this text
--- a/soak/upstream_faults.cpp
+++ b/soak/upstream_faults.cpp
@@ -13,6 +13,10 @@
 /// Share of the upstreams that a fault affects at the same time.
 constexpr double FaultyUpstreamShare = 0.4;
 constexpr double SilentUpstreamShare = 0.5;
+constexpr double UnframedUpstreamShare = 0.6;
+/// Last event within which the crashing part breaks off its stream: it comes
+/// before a stream counts as sound.
+constexpr int MaxCrashEvent = 4;
 /// How long a sound upstream falls silent.
 constexpr Duration MinSilence = std::chrono::milliseconds(800);
 constexpr Duration MaxSilence = std::chrono::milliseconds(1500);
@@ -74,6 +78,24 @@
   setUpstreamFaults(FaultMode::AbortsStream, span);
 }
 
+// No disruption is recorded: either framing is sound. What an upstream sends
+// stays as it is until the next change.
+void FaultInjector::upstreamsChangeFraming(Duration) {
+  using CrashPoint = platform::FakeUpstreamServer::CrashPoint;
+  std::bernoulli_distribution isUnframed(UnframedUpstreamShare);
+  std::bernoulli_distribution isInsideEvent(0.5);
+  std::uniform_int_distribution<int> event(1, MaxCrashEvent);
+  for (const auto &upstream : cluster_->upstreams()) {
+    platform::FakeUpstreamServer *server = upstream->server.get();
+    if (upstream->service != "models")
+      continue;
+    server->sendsUnframedStreams = isUnframed(random_);
+    server->crashPoint = isInsideEvent(random_) ? CrashPoint::InsideEvent
+                                                : CrashPoint::AfterHead;
+    server->crashEvent = event(random_);
+  }
+}
+
 void FaultInjector::impairUpstreamLink(Duration span) {
   SoakUpstream *upstream = randomUpstream();
   impairLink(upstream->link.get(), randomLinkFault(), "workers", span);
