Attempt ends: one predicate each, and an unused accessor gone

Read again: Attempt::hasHead() had lost its only caller with onStreamEnd; two places asked whether the transport shows no fault (now isReceived()), and two whether a trial is still open (hasOpenTrial()). Behaviour is unchanged.

Checked: formatter, timers, whole build, decision_test, and the eight tests of the touched parts (attempt ends, crashing parts and requests, hand-overs, hedges, unframed responses, stage timeouts, serving): all passed.

--- a/include/auburnspring/decision/attempt_verdict.h
+++ b/include/auburnspring/decision/attempt_verdict.h
@@ -25,6 +25,11 @@
   Framed,
 };
 
+/// True if the transport shows no fault: the rest is up to the content.
+constexpr bool isReceived(ResponseEnd end) {
+  return end == ResponseEnd::Closed || end == ResponseEnd::Framed;
+}
+
 /// What the content of a response shows about its end.
 enum class ContentEnd : std::uint8_t {
   /// Nothing, since this host can't read the content.
--- a/include/auburnspring/serving/active_request.h
+++ b/include/auburnspring/serving/active_request.h
@@ -70,6 +70,8 @@
   /// Refuses or holds the request right before an attempt, and returns true if
   /// so. The attempt starts later if the request gets the trial that is due.
   bool holdIfQuarantined();
+  /// The request has a trial, and no upstream may have run it so far.
+  bool hasOpenTrial() const { return isTrial_ && possibleRuns_ == 0; }
   /// Asks for the trial that is due, then goes on with `next` or refuses.
   void requestTrial(const PartQuarantines::Check &check,
                     void (ActiveRequest::*next)());
--- a/include/auburnspring/serving/attempt.h
+++ b/include/auburnspring/serving/attempt.h
@@ -89,7 +89,6 @@
   const UpstreamState &upstream() const { return *upstream_; }
   const UpstreamStatePtr &upstreamState() const { return upstream_; }
   UpstreamState *mutableUpstream() { return upstream_.get(); }
-  bool hasHead() const { return head_.status != 0; }
   /// The response is a stream of events that may be forwarded.
   bool isEventStream() const;
   const http::ResponseHead &head() const { return head_; }
--- a/src/auburnspring/decision/attempt_verdict.cpp
+++ b/src/auburnspring/decision/attempt_verdict.cpp
@@ -53,9 +53,7 @@
 }
 
 std::string_view describe(const AttemptEvidence &evidence) {
-  const bool isReceived = evidence.end == ResponseEnd::Closed ||
-                          evidence.end == ResponseEnd::Framed;
-  if (!isReceived)
+  if (!isReceived(evidence.end))
     return "";
   switch (evidence.content) {
   case ContentEnd::InsideEvent:
--- a/src/auburnspring/serving/active_request_attempts.cpp
+++ b/src/auburnspring/serving/active_request_attempts.cpp
@@ -360,8 +360,7 @@
   reportParts(attempt);
   if (!mayHaveRun(verdict))
     --possibleRuns_;
-  const bool isTrialDue = isTrial_ && possibleRuns_ == 0;
-  if (callerDisconnected_ && !isTrialDue)
+  if (callerDisconnected_ && !hasOpenTrial())
     return finish("caller_gone", 0, "caller_gone");
   if (attempt->isEventStream() && verdict == AttemptVerdict::Answered) {
     context_->speeds.onStreamEnd(attempt, steadyNow());
--- a/src/auburnspring/serving/active_request_parts.cpp
+++ b/src/auburnspring/serving/active_request_parts.cpp
@@ -47,8 +47,7 @@
 }
 
 bool ActiveRequest::holdIfQuarantined() {
-  // A trial is over once an upstream may have run it.
-  if (isTrial_ && possibleRuns_ == 0)
+  if (hasOpenTrial())
     return false;
   const PartQuarantines::Check check = context_->partGuard->check(partNames_);
   if (check.verdict == PartVerdict::Free)
--- a/src/auburnspring/serving/piece_dispatcher.cpp
+++ b/src/auburnspring/serving/piece_dispatcher.cpp
@@ -379,9 +379,7 @@
   // Stage upstreams sign nothing.
   evidence.isGenuine = true;
   evidence.needsOk = true;
-  const bool isReceived =
-      end == ResponseEnd::Closed || end == ResponseEnd::Framed;
-  if (isReceived && call.status == Ok) {
+  if (isReceived(end) && call.status == Ok) {
     absl::StatusOr<std::vector<PieceResult>> read =
         dialect_->parseBatchResponse(call.body);
     const bool isWhole = read.ok() && read->size() == call.items;
